--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,775 @@
+// The decisions of one node; the interface (settings, events, actions) is in rules.hpp.
+//
+// The ordinary path is the design's: a new connection goes to a ready server drawn at random in proportion to
+// 100 minus its utilisation, read by steady probes and fresh for 5 s. Every departure carries a comment that
+// begins with "Departure" and names the failure it prevents; docs/design.md says when each one acts.
+#include "rules.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace ivyreel {
+namespace {
+
+using namespace std::chrono_literals;
+
+// ---- constants: each with its reason; every other figure comes from the settings or from observation ----
+
+constexpr double kFull = 100.0;             // utilisation, per cent: the draft's scale ends here (9.1.2)
+constexpr double kUnknownUtilisation = 50;  // per cent: the draft's figure where nothing is known (9.1.2)
+constexpr Micros kFreshFor = 5s;            // the draft's age at which a figure no longer counts (9.1.2)
+constexpr Micros kProbeEvery = 1s;          // the draft lets a figure change once a second (9.2.1)
+constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
+constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
+constexpr Micros kFirstFigures = 150ms;     // the longest a starting node waits for its first probes
+constexpr int kProbeFailures = 2;           // probes in a row: one may be lost, two make a host unhealthy
+constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
+constexpr double kTrustStep = 0.2;          // weight of one attempt in a host's success share: ~5 count
+constexpr double kTrustHealing = 0.1;       // weight of an answered probe: back to half trust in ~7 s
+constexpr double kTrustLeast = 0.05;        // a trickle, so that recovery is noticed
+constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
+constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
+constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
+constexpr double kHolderLimit = 90;         // per cent: a fuller host is not handed more of its groups
+constexpr double kColdSafety = 0.5;         // part of the cold budget used: peers and clocks are uneven
+constexpr double kUsualLoad = 40'000;       // us of work a second: 25 connections a core, until one is seen
+constexpr double kLoadStep = 0.05;          // weight of one load note in the mean of a class
+constexpr double kOverdriven = 1.0;         // load over capacity: beyond, messages pile up
+constexpr double kRelievedTo = 0.8;         // load over capacity that moves aim for, with room for swings
+constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
+constexpr double kEvacuateShare = 0.05;     // of a host's connections a tick: a fifth of a second for most
+constexpr double kBusyFleet = 75;           // mean per cent from which over-share tenants are refused
+constexpr Micros kWatchBackoff = 500ms;     // first wait after the list failed; doubles, jittered
+
+// ---- small helpers ----
+
+template <class... Ts>
+struct Overloaded : Ts... {
+    using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+std::uint64_t mix(std::uint64_t x) {  // the finaliser of splitmix64
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31U);
+}
+
+double unitInterval(std::uint64_t x) {  // 53 bits to the open interval (0, 1)
+    return (static_cast<double>(x >> 11U) + 0.5) * 0x1.0p-53;
+}
+
+class Random {  // splitmix64, so that a seed gives the same numbers everywhere
+  public:
+    explicit Random(std::uint64_t seed) : state_(seed) {}
+    double next() { return unitInterval(mix(state_ += 0x9e3779b97f4a7c15ULL)); }
+
+  private:
+    std::uint64_t state_;
+};
+
+double seconds(Micros span) {
+    return std::chrono::duration<double>(span).count();
+}
+
+Micros scaled(Micros span, double factor) {
+    return Micros{static_cast<Micros::rep>(static_cast<double>(span.count()) * factor)};
+}
+
+struct Placement {
+    Time at;
+    double load;
+};
+
+struct Host {
+    HostEntry entry;
+    bool listed = false;
+    // what reports said
+    bool reported = false;
+    Time reportedAt{0};
+    int utilisation = 0;  // 0 to 100
+    double load = 0.0;    // load over capacity, unclamped
+    // probes and health
+    Time probeDue{0};
+    bool probeOut = false;
+    int probeFailures = 0;
+    int attemptFailures = 0;
+    double trust = 1.0;  // recent share of attempts that went well
+    Time ejectedUntil{0};
+    Micros ejection{0};
+    Time fullUntil{0};
+    // what this node has there
+    std::vector<Placement> recent;  // sends that the last report cannot show yet
+    double ownLoad = 0.0;
+    int ownOpen = 0;
+    Time coldNext{0};  // the earliest next send while the host is cold
+    Time moveNext{0};
+};
+
+struct Request {
+    Arrived asked;
+    Time arrivedAt{0};
+    Time deadline{0};
+    double load = 0.0;
+    int attempts = 0;
+    std::vector<HostId> tried;
+    bool out = false;  // an attempt is outstanding
+    bool open = false;
+    HostId host{};
+    Time sentAt{0};
+    bool mayHaveRun = false;  // an ended attempt may have executed
+    Time firstRunSentAt{0};
+    HostId firstRunHost{};
+};
+
+// ---- the decisions ----
+
+class Node final : public Rules {
+  public:
+    explicit Node(Settings settings) : s_(std::move(settings)), random_(s_.seed) {
+        classLoad_.assign(s_.classes.size(), 0.0);
+        tenantOpen_.assign(s_.tenants.size(), 0);
+        tick_ = std::max(kTick, s_.resolution);
+    }
+
+    void handle(Time now, const Event& event, std::vector<Action>& actions) override {
+        now_ = now;
+        out_ = &actions;
+        std::visit([this](const auto& e) { on(e); }, event);
+        out_ = nullptr;
+    }
+
+  private:
+    using Requests = std::map<RequestId, Request>;
+
+    // ---- start, clock, list ----
+
+    void on(const Started&) {
+        startedAt_ = now_;
+        if (s_.listMode == ListMode::Ask) watch();
+        act(SetTimer{scaled(tick_, random_.next()) + Micros{1}, TimerToken{0}});
+    }
+
+    void on(const TimerDue&) {
+        act(SetTimer{tick_, TimerToken{0}});
+        if (s_.listMode == ListMode::Ask && now_ >= watchDue_) watch();
+        probeDueHosts();
+        endOverdue();
+        retryHeld();
+        evacuate();
+    }
+
+    void watch() {
+        act(Watch{});
+        watchDue_ = now_ + s_.rules.mustAskIn / 2;  // asked again if no answer comes at all
+        watching_ = false;
+    }
+
+    void on(const ListChanged& e) {
+        if (e.kind == ListKind::Failed) {
+            watchBackoff_ = std::clamp(watchBackoff_ * 2, kWatchBackoff, s_.rules.mustAskIn / 4);
+            watchDue_ = now_ + scaled(watchBackoff_, 0.5 + random_.next());
+            return;
+        }
+        if (e.kind != ListKind::Cached) {
+            watching_ = true;
+            watchBackoff_ = Micros{0};
+            watchDue_ = Time::max();
+        }
+        if (e.kind != ListKind::Delta) {
+            for (auto& [id, host] : hosts_) {
+                host.listed = false;
+            }
+        }
+        for (const HostEntry& entry : e.hosts) {
+            update(entry);
+        }
+        std::erase_if(hosts_,
+                      [](const auto& item) { return !item.second.listed && item.second.ownOpen == 0; });
+        probeDueHosts();
+        retryHeld();
+    }
+
+    void update(const HostEntry& entry) {
+        const auto [at, isNew] = hosts_.try_emplace(entry.id);
+        Host& host = at->second;
+        if (!isNew && host.entry.launched != entry.launched) {
+            // A restart under the same id: what was known of the old process does not count.
+            const double load = host.ownLoad;
+            const int open = host.ownOpen;
+            host = Host{};
+            host.ownLoad = load;
+            host.ownOpen = open;
+        }
+        const bool fresh = isNew || host.entry.launched != entry.launched;
+        host.entry = entry;
+        host.listed = entry.availability != Availability::Gone;
+        if (fresh) {
+            // A node that starts asks all at once; later hosts are asked in a phase of this node's own.
+            host.probeDue = now_ == startedAt_ ? now_ : now_ + scaled(kProbeEvery / 4, random_.next());
+            host.coldNext = now_ + scaled(s_.rules.fall, random_.next());
+        }
+    }
+
+    // ---- probes and reports ----
+
+    void probeDueHosts() {
+        if (!s_.limits.probes) return;
+        for (auto& [id, host] : hosts_) {
+            if (!host.listed || host.probeOut || now_ < host.probeDue) continue;
+            act(Probe{id});
+            host.probeOut = true;
+            const bool first = host.probeDue <= startedAt_;
+            host.probeDue = now_ + (first ? scaled(kProbeEvery, 0.5 + random_.next()) : kProbeEvery);
+        }
+    }
+
+    void on(const Probed& e) {
+        Host* host = find(e.host);
+        if (host == nullptr) return;
+        host->probeOut = false;
+        if (e.outcome == Outcome::Ok) {
+            host->probeFailures = 0;
+            host->trust += (1.0 - host->trust) * kTrustHealing;
+        } else if (e.outcome != Outcome::Full) {
+            ++host->probeFailures;
+        }
+        if (e.report) take(*host, *e.report);
+        retryHeld();
+    }
+
+    // Maps a report to a utilisation: load over capacity where it is told, else busy cores, else how the
+    // host's own count of requests stands against the fleet's mean, which then counts as the draft's 50.
+    void take(Host& host, const LoadReport& report) {
+        if (report.loadOverCapacity) {
+            host.load = *report.loadOverCapacity;
+        } else if (report.busy) {
+            host.load = *report.busy;
+        } else if (report.active) {
+            meanActive_ += (*report.active - meanActive_) * kLoadStep;
+            host.load = meanActive_ > 0 ? kUnknownUtilisation / kFull * *report.active / meanActive_ : 0.0;
+        } else {
+            return;
+        }
+        if (!(host.load >= 0.0)) host.load = 0.0;
+        host.utilisation = static_cast<int>(std::lround(std::min(host.load * kFull, kFull)));
+        host.reported = true;
+        host.reportedAt = now_;
+        std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kReportLag; });
+        measureFleet();
+        relieve(host);
+    }
+
+    bool fresh(const Host& host) const { return host.reported && now_ - host.reportedAt < kFreshFor; }
+
+    void measureFleet() {
+        double sum = 0.0;
+        double loads = 0.0;
+        double own = 0.0;
+        int count = 0;
+        for (const auto& [id, host] : hosts_) {
+            if (!host.listed || !fresh(host)) continue;
+            sum += host.utilisation;
+            loads += host.load;
+            own += host.ownLoad;
+            ++count;
+        }
+        meanUtilisation_ = count > 0 ? sum / count : kUnknownUtilisation;
+        // What one unit of this node's load adds to a host, over its capacity; the others carry as much each.
+        if (own > 0) loadShare_ = loads / (own * s_.nodes);
+    }
+
+    double utilisation(const Host& host) const {
+        const double stated = fresh(host) ? host.utilisation : meanUtilisation_;
+        // Departure, accounting between reports: what was sent since the figure was taken is added to it,
+        // times the number of nodes, who see the same figure. Prevents herding onto a host that reported low.
+        double since = 0.0;
+        for (const Placement& p : host.recent) {
+            if (p.at >= now_ - kFreshFor) since += p.load;
+        }
+        return std::min(kFull, stated + kFull * since * loadShare_ * s_.nodes);
+    }
+
+    // ---- health ----
+
+    bool unhealthy(const Host& host) const { return host.probeFailures >= kProbeFailures; }
+    bool ready(const Host& host) const {
+        return host.listed && host.entry.availability == Availability::Ready;
+    }
+    bool ejected(const Host& host) const { return now_ < host.ejectedUntil; }
+
+    void wentWell(Host& host) {
+        host.attemptFailures = 0;
+        host.ejection = Micros{0};
+        host.trust += (1.0 - host.trust) * kTrustStep;
+    }
+
+    void wentWrong(Host& host) {
+        ++host.attemptFailures;
+        host.trust = std::max(kTrustLeast, host.trust * (1.0 - kTrustStep));
+        if (host.attemptFailures < kAttemptFailures || ejected(host)) return;
+        // Departure, outlier ejection: a host that fails quickly keeps a low figure and would draw on and on.
+        int readyHosts = 0;
+        int ejectedHosts = 0;
+        for (const auto& [id, other] : hosts_) {
+            readyHosts += ready(other) ? 1 : 0;
+            ejectedHosts += ready(other) && ejected(other) ? 1 : 0;
+        }
+        if (ejectedHosts + 1 > readyHosts * kEjectShare) return;
+        host.ejection = std::clamp(host.ejection * 2, kEjectFirst, kEjectMost);
+        host.ejectedUntil = now_ + host.ejection;
+        host.attemptFailures = kAttemptFailures - 1;  // one trial connection decides after the pause
+    }
+
+    // ---- cold hosts ----
+
+    double warmth(const Host& host) const {
+        if (host.entry.launched == Time{0} || s_.rules.warmAfter <= Micros{0}) return 1.0;
+        const double age = seconds(now_ - host.entry.launched) / seconds(s_.rules.warmAfter);
+        return std::clamp(s_.rules.coldShare + (1.0 - s_.rules.coldShare) * age, s_.rules.coldShare, 1.0);
+    }
+
+    bool coldRoom(const Host& host) const { return warmth(host) >= 1.0 || now_ >= host.coldNext; }
+
+    // Departure, slow start: each node keeps to its own part of what a cold host stands, evenly spaced, so
+    // that all nodes together never push it over. What fills it over its warm-up is what it can take.
+    void spendCold(Host& host, double load) {
+        const double warm = warmth(host);
+        if (warm >= 1.0) return;
+        const double capacity = loadShare_ > 0 ? 1.0 / loadShare_ : kUsualLoad * 2;
+        const double perSecond = kColdSafety * s_.rules.fallMultiple * warm * capacity /
+                                 seconds(s_.rules.warmAfter) / static_cast<double>(s_.nodes);
+        const double wait = perSecond > 0 ? load / perSecond : seconds(s_.rules.warmAfter);
+        host.coldNext = now_ + scaled(1s, std::min(wait, seconds(s_.rules.warmAfter)));
+    }
+
+    // ---- requests ----
+
+    void on(const Arrived& e) {
+        Request& r = requests_[e.request];
+        r.asked = e;
+        r.arrivedAt = now_;
+        r.deadline = now_ + e.patience;
+        r.load = expectedLoad(e);
+        place(e.request, r);
+    }
+
+    void on(const AlreadyOpen& e) {
+        Request& r = requests_[e.request.request];
+        r.asked = e.request;
+        r.arrivedAt = now_;
+        r.load = expectedLoad(e.request);
+        r.attempts = 1;
+        r.host = e.host;
+        r.open = true;
+        hosts_.try_emplace(e.host).first->second.entry.id = e.host;
+        attach(r);
+    }
+
+    double expectedLoad(const Arrived& e) const {
+        if (e.loadHint && *e.loadHint > 0) return *e.loadHint;
+        const auto cls = static_cast<std::size_t>(e.cls);
+        return cls < classLoad_.size() && classLoad_[cls] > 0 ? classLoad_[cls] : kUsualLoad;
+    }
+
+    const ClassSettings& classOf(const Request& r) const {
+        static const ClassSettings kUnlisted;  // the strictest reading: unsafe
+        const auto cls = static_cast<std::size_t>(r.asked.cls);
+        return cls < s_.classes.size() ? s_.classes[cls] : kUnlisted;
+    }
+
+    void attach(const Request& r) { count(r, 1); }
+    void detach(const Request& r) { count(r, -1); }
+
+    void count(const Request& r, int step) {
+        if (Host* host = find(r.host)) {
+            host->ownOpen += step;
+            host->ownLoad = host->ownOpen > 0 ? std::max(0.0, host->ownLoad + step * r.load) : 0.0;
+        }
+        const auto tenant = static_cast<std::size_t>(r.asked.tenant);
+        if (tenant < tenantOpen_.size()) tenantOpen_[tenant] += step;
+        if (!grouped(r)) return;
+        int& members = members_[{r.asked.group, r.host}];
+        members += step;
+        if (members <= 0) members_.erase({r.asked.group, r.host});
+    }
+
+    bool grouped(const Request& r) const { return s_.groupsShareWork && r.asked.group != GroupId{0}; }
+
+    // ---- placing ----
+
+    // Holds the request, sends it, or gives its final answer.
+    void place(RequestId id, Request& r) {
+        if (r.attempts >= s_.limits.attempts || now_ >= lastMoment(r)) return finish(id, r);
+        if (startingBlind()) return;
+        if (refuseAtOnce(r)) return finish(id, r);
+        Host* host = choose(r);
+        if (host == nullptr) {
+            if (!repeatable(r)) finish(id, r);  // otherwise it is held: a host may come back
+            return;
+        }
+        send(id, r, *host);
+    }
+
+    // Departure: for a moment after its start a node waits for its first figures rather than place blind.
+    bool startingBlind() const {
+        if (!s_.limits.probes || now_ >= startedAt_ + kFirstFigures) return false;
+        int known = 0;
+        int readyHosts = 0;
+        for (const auto& [id, host] : hosts_) {
+            readyHosts += ready(host) ? 1 : 0;
+            known += ready(host) && host.reported ? 1 : 0;
+        }
+        return known * 2 < readyHosts;
+    }
+
+    // Departure, admission control: on a busy fleet the tenants that are over their share yield, since what
+    // they add is worth little and would push the others' connections past their message aims.
+    bool refuseAtOnce(const Request& r) const {
+        const auto tenant = static_cast<std::size_t>(r.asked.tenant);
+        if (tenant >= tenantOpen_.size() || s_.tenants[tenant].quotaConnections <= 0) return false;
+        return s_.overShareWorth < 1.0 && meanUtilisation_ >= kBusyFleet && mayRefuse(r) &&
+               tenantOpen_[tenant] * static_cast<double>(s_.nodes) > s_.tenants[tenant].quotaConnections;
+    }
+
+    struct Candidate {
+        Host* host;
+        double weight;
+    };
+
+    Host* choose(const Request& r) {
+        std::vector<Candidate> candidates = candidatesFor(r, true);
+        if (candidates.empty()) candidates = candidatesFor(r, false);
+        if (candidates.empty()) return nullptr;
+        double total = 0.0;
+        for (const Candidate& c : candidates) {
+            total += c.weight;
+        }
+        if (total <= 0.0) {  // all weights are zero: draw evenly
+            for (Candidate& c : candidates) {
+                c.weight = 1.0;
+            }
+            total = static_cast<double>(candidates.size());
+        }
+        if (grouped(r)) return chooseForGroup(candidates, r, static_cast<std::uint64_t>(r.asked.group));
+        if (s_.flowMode == FlowMode::Pass && r.asked.key != KeyId{0}) {
+            return rendezvous(candidates, static_cast<std::uint64_t>(r.asked.key));
+        }
+        double point = random_.next() * total;
+        for (const Candidate& c : candidates) {
+            point -= c.weight;
+            if (point < 0.0) return c.host;
+        }
+        return std::find_if(candidates.rbegin(), candidates.rend(),
+                            [](const Candidate& c) { return c.weight > 0; })
+            ->host;
+    }
+
+    std::vector<Candidate> candidatesFor(const Request& r, bool strict) {
+        std::vector<Candidate> result;
+        for (auto& [id, host] : hosts_) {
+            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
+            const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
+            if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
+            // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
+            // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
+            // low figure.
+            result.push_back({&host, (kFull - utilisation(host)) * host.trust * warmth(host)});
+        }
+        return result;
+    }
+
+    // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
+    // number is made from the group and the host (weighted rendezvous hashing). Over groups the shares stay
+    // in proportion to the weights, while the members meet on one host at all nodes. Members go where the
+    // node already has some.
+    Host* chooseForGroup(const std::vector<Candidate>& candidates, const Request& r,
+                         std::uint64_t key) const {
+        Host* best = nullptr;
+        int most = 0;
+        for (const Candidate& c : candidates) {
+            const auto members = members_.find({r.asked.group, c.host->entry.id});
+            if (members == members_.end() || members->second <= most) continue;
+            if (utilisation(*c.host) >= kHolderLimit) continue;
+            best = c.host;
+            most = members->second;
+        }
+        return best != nullptr ? best : rendezvous(candidates, key);
+    }
+
+    static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key) {
+        Host* best = nullptr;
+        double least = 0.0;
+        for (const Candidate& c : candidates) {
+            if (c.weight <= 0.0) continue;
+            const auto id = static_cast<std::uint64_t>(c.host->entry.id);
+            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / c.weight;
+            if (best != nullptr && score >= least) continue;
+            best = c.host;
+            least = score;
+        }
+        return best;
+    }
+
+    void send(RequestId id, Request& r, Host& host) {
+        r.host = host.entry.id;
+        r.sentAt = now_;
+        r.out = true;
+        ++r.attempts;
+        host.recent.push_back({now_, r.load});
+        spendCold(host, r.load);
+        attach(r);
+        act(Send{id, host.entry.id, timeoutFor(r)});
+    }
+
+    // Half of what is left of the aim, so that a second attempt still fits; never under what setting up
+    // takes.
+    Micros timeoutFor(const Request& r) const {
+        const Micros left = r.deadline - now_;
+        if (r.attempts >= s_.limits.attempts || !couldRepeat(r)) return left;
+        const Micros aimLeft = r.arrivedAt + classOf(r).aim - now_;
+        const Micros least =
+            std::max(s_.limits.connectTimeout, Micros{static_cast<Micros::rep>(3.0 * setupUs_)});
+        return std::min(left, std::max(least, (aimLeft > Micros{0} ? aimLeft : left) / 2));
+    }
+
+    Time lastMoment(const Request& r) const { return r.deadline - tick_ - s_.resolution; }
+
+    // ---- effects: what may be sent again, and what may be refused ----
+
+    bool couldRepeat(const Request& r) const { return classOf(r).effect != Effect::Unsafe; }
+
+    bool repeatable(const Request& r) const {
+        const ClassSettings& cls = classOf(r);
+        if (!r.mayHaveRun || cls.effect == Effect::Safe) return true;
+        return cls.effect == Effect::Keyed && now_ + tick_ < r.firstRunSentAt + cls.repeatWindow;
+    }
+
+    bool mayGo(const Request& r, const Host& host) const {
+        const ClassSettings& cls = classOf(r);
+        if (!r.mayHaveRun || cls.effect == Effect::Safe) return true;
+        if (!repeatable(r)) return false;
+        if (cls.group == RepeatGroup::All) return true;
+        const auto first = hosts_.find(r.firstRunHost);
+        if (first == hosts_.end()) return false;
+        if (cls.group == RepeatGroup::Zone) return first->second.entry.zone == host.entry.zone;
+        return first->second.entry.cell == host.entry.cell;
+    }
+
+    bool mayRefuse(const Request& r) const {
+        const ClassSettings& cls = classOf(r);
+        if (cls.effect == Effect::Safe) return true;
+        if (cls.effect == Effect::Keyed && cls.group == RepeatGroup::All) return true;
+        return !r.mayHaveRun && !r.out;
+    }
+
+    // The one place where a request gets its final answer from the node.
+    void finish(RequestId id, Request& r) {
+        if (r.out && s_.limits.cancel)
+            act(Cancel{id, AttemptIndex{static_cast<std::uint8_t>(r.attempts - 1)}});
+        if (mayRefuse(r)) {
+            const Micros advice =
+                s_.limits.retryAfter ? scaled(s_.limits.maxRetryAfter, 0.25 + random_.next() / 2) : Micros{0};
+            act(Refuse{id, advice});
+        } else {
+            act(Fail{id});
+        }
+        if (r.out) detach(r);
+        requests_.erase(id);
+    }
+
+    // ---- what becomes of requests ----
+
+    void on(const Established& e) {
+        const auto at = requests_.find(e.request);
+        if (at == requests_.end()) return;
+        Request& r = at->second;
+        r.out = false;
+        r.open = true;
+        setupUs_ += (static_cast<double>(e.waited.count()) - setupUs_) * kLoadStep;
+        if (Host* host = find(e.host)) wentWell(*host);
+    }
+
+    void on(const AttemptEnded& e) {
+        Host* host = find(e.host);
+        if (host != nullptr && e.report) take(*host, *e.report);
+        const auto at = requests_.find(e.request);
+        if (at == requests_.end()) return;
+        Request& r = at->second;
+        if (host != nullptr) judge(*host, e.outcome);
+        detach(r);
+        r.out = false;
+        if (e.requestOver) {
+            requests_.erase(at);
+            return;
+        }
+        r.open = false;
+        const bool ran =
+            e.outcome != Outcome::Full && e.outcome != Outcome::ConnectFailed && e.outcome != Outcome::Moot;
+        if (ran && !r.mayHaveRun) {
+            r.mayHaveRun = true;
+            r.firstRunSentAt = r.sentAt;
+            r.firstRunHost = e.host;
+        }
+        r.tried.push_back(e.host);
+        if (!repeatable(r)) return finish(e.request, r);
+        place(e.request, r);
+    }
+
+    void judge(Host& host, Outcome outcome) {
+        switch (outcome) {
+            case Outcome::Ok:
+                return wentWell(host);
+            case Outcome::Full:
+                // Departure: a host that turned a connection away is passed over until its next figure.
+                host.fullUntil = now_ + kProbeEvery;
+                return;
+            case Outcome::Error:
+            case Outcome::Timeout:
+            case Outcome::ConnectFailed:
+            case Outcome::Reset:
+                return wentWrong(host);
+            case Outcome::Cancelled:
+            case Outcome::Moot:
+                return;
+        }
+    }
+
+    void on(const ClientLeft& e) {
+        const auto at = requests_.find(e.request);
+        if (at == requests_.end()) return;
+        Request& r = at->second;
+        if (r.out || r.open) detach(r);
+        requests_.erase(at);
+    }
+
+    void on(const LoadNote& e) {
+        const auto at = requests_.find(e.request);
+        if (at == requests_.end() || !(e.load >= 0.0)) return;
+        Request& r = at->second;
+        if (Host* host = find(r.host)) host->ownLoad = std::max(0.0, host->ownLoad + e.load - r.load);
+        r.load = e.load;
+        const auto cls = static_cast<std::size_t>(r.asked.cls);
+        if (cls >= classLoad_.size()) return;
+        classLoad_[cls] =
+            classLoad_[cls] > 0 ? classLoad_[cls] + (e.load - classLoad_[cls]) * kLoadStep : e.load;
+    }
+
+    void on(const DelayNote&) {}
+
+    std::vector<RequestId> waiting(bool withAttempt) const {
+        std::vector<RequestId> result;
+        for (const auto& [id, r] : requests_) {
+            if (!r.open && (withAttempt || !r.out)) result.push_back(id);
+        }
+        return result;
+    }
+
+    void endOverdue() {
+        for (const RequestId id : waiting(true)) {
+            Request& r = requests_.at(id);
+            if (now_ >= lastMoment(r)) finish(id, r);
+        }
+    }
+
+    void retryHeld() {
+        for (const RequestId id : waiting(false)) {
+            place(id, requests_.at(id));
+        }
+    }
+
+    // ---- moves ----
+
+    // Departure: a host that reports more load than it can carry serves nobody well. This node moves its part
+    // of the excess, whole groups first met, as far as the others have room.
+    void relieve(Host& host) {
+        if (host.load <= kOverdriven || now_ < host.moveNext || host.ownOpen == 0 || loadShare_ <= 0) return;
+        double room = 0.0;
+        for (const auto& [id, other] : hosts_) {
+            if (&other == &host || !ready(other) || unhealthy(other) || ejected(other) || !fresh(other))
+                continue;
+            room += std::max(0.0, kRelievedTo - other.load) * warmth(other);
+        }
+        const double own = host.ownLoad * (host.load - kRelievedTo) / host.load;
+        moveOff(host, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes)));
+        host.moveNext = now_ + kMoveSettle;
+    }
+
+    void moveOff(const Host& host, double load) {
+        std::vector<std::pair<GroupId, RequestId>> there;
+        for (const auto& [id, r] : requests_) {
+            if (r.open && r.host == host.entry.id) there.emplace_back(r.asked.group, id);
+        }
+        std::sort(there.begin(), there.end());
+        for (const auto& [group, id] : there) {
+            Request& r = requests_.at(id);
+            if (load < r.load / 2) return;
+            load -= r.load;
+            move(id, r);
+        }
+    }
+
+    void move(RequestId id, const Request& r) {
+        act(Move{id});
+        detach(r);
+        requests_.erase(id);
+    }
+
+    // Departure: connections on a host that answers no probes, or that drains, are brought elsewhere in small
+    // steps while others can take them. Prevents that they hang on a cut link, or break all at once when the
+    // host stops.
+    void evacuate() {
+        const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const auto& item) {
+            return ready(item.second) && !unhealthy(item.second) && item.second.utilisation < kHolderLimit;
+        });
+        if (!room) return;
+        for (auto& [id, host] : hosts_) {
+            const bool draining = host.listed && host.entry.availability == Availability::Draining;
+            const bool lost = host.listed && host.probeFailures > kProbeFailures;
+            if (host.ownOpen > 0 && (draining || lost)) moveOff(host, host.ownLoad * kEvacuateShare);
+        }
+    }
+
+    // ---- plumbing ----
+
+    Host* find(HostId id) {
+        const auto at = hosts_.find(id);
+        return at == hosts_.end() ? nullptr : &at->second;
+    }
+
+    template <class A>
+    void act(A action) {
+        out_->push_back(std::move(action));
+    }
+
+    Settings s_;
+    Random random_;
+    Micros tick_{kTick};
+    Time now_{0};
+    Time startedAt_{0};
+    std::vector<Action>* out_ = nullptr;
+
+    std::map<HostId, Host> hosts_;
+    Requests requests_;
+    std::map<std::pair<GroupId, HostId>, int> members_;  // this node's connections of a group, by host
+    std::vector<double> classLoad_;                      // mean load of a connection, by class
+    std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
+    double meanUtilisation_ = kUnknownUtilisation;
+    double loadShare_ = 0.0;  // of a host's capacity, for one unit of load
+    double meanActive_ = 0.0;
+    double setupUs_ = 0.0;
+    Time watchDue_{Time::max()};
+    Micros watchBackoff_{0};
+    bool watching_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<Rules> makeRules(Settings settings) {
+    return std::make_unique<Node>(std::move(settings));
+}
+
+}  // namespace ivyreel
--- /dev/null
+++ b/src/rules.hpp
@@ -0,0 +1,234 @@
+// The interface of the decision module: settings, events, actions. The decisions are in rules.cpp.
+//
+// One Rules object decides for one node. It sees only what its own events carry, keeps no clock and does no
+// input or output. Any protocol can drive it: translate what happens into events, carry out the actions.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ivyreel {
+
+using Micros = std::chrono::microseconds;
+using Time = std::chrono::microseconds;  // since an arbitrary start, never going back
+
+enum class RequestId : std::uint64_t {};
+enum class HostId : std::uint64_t {};
+enum class GroupId : std::uint64_t {};  // 0: belongs to no group
+enum class KeyId : std::uint64_t {};    // 0: carries no key
+enum class ClassIndex : std::uint32_t {};
+enum class TenantIndex : std::uint32_t {};
+enum class ZoneIndex : std::uint32_t {};
+enum class KindIndex : std::uint32_t {};
+enum class CellId : std::uint32_t {};
+enum class TimerToken : std::uint32_t {};
+enum class AttemptIndex : std::uint8_t {};
+
+// ---- settings ----
+
+enum class Effect { Safe, Keyed, Unsafe };
+enum class RepeatGroup { All, Zone, Cell };  // which hosts drop the repeats of a keyed request
+enum class ListMode { Push, Ask };
+enum class ReportMode { WithAnswers, ByProbe, None };
+enum class FlowMode { Proxy, Pass };
+enum class WeightKind { None, Nominal, Rough, Live };
+
+struct ClassSettings {
+    Micros aim{500'000};
+    Micros giveUp{3'000'000};
+    Effect effect = Effect::Unsafe;
+    RepeatGroup group = RepeatGroup::Cell;
+    Micros repeatWindow{0};
+    double worth = 1.0;
+    Micros messageAim{0};  // 0: not stated
+};
+
+struct TenantSettings {
+    double share = 1.0;
+    double quotaConnections = 0.0;  // over all nodes; 0: none stated
+};
+
+struct Limits {
+    int attempts = 1;
+    bool cancel = false;
+    bool secondCopies = false;
+    bool probes = false;
+    bool retryAfter = false;
+    Micros maxRetryAfter{0};
+    Micros connectTimeout{250'000};
+};
+
+struct RuleFigures {
+    Micros answerSlack{0};
+    Micros drainGrace{0};
+    double coldShare = 1.0;
+    Micros warmAfter{0};
+    double fallMultiple = 1.0;
+    Micros fall{1'000'000};
+    Micros mustAskIn{10'000'000};
+};
+
+struct Settings {
+    std::uint64_t seed = 0;
+    std::uint32_t nodeIndex = 0;
+    std::uint32_t nodes = 1;
+    ZoneIndex zone{0};
+    Micros resolution{1'000};  // the least time between two batches of events
+    std::vector<ClassSettings> classes;
+    std::vector<TenantSettings> tenants;
+    double overShareWorth = 1.0;
+    Limits limits;
+    RuleFigures rules;
+    ListMode listMode = ListMode::Push;
+    ReportMode reportMode = ReportMode::None;
+    WeightKind weightKind = WeightKind::None;
+    FlowMode flowMode = FlowMode::Proxy;
+    bool groupsShareWork = false;
+};
+
+// ---- events ----
+
+enum class Availability { Gone, Draining, Ready };
+enum class ListKind { Delta, Full, Cached, Failed };
+enum class Outcome { Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot };
+
+struct HostEntry {
+    HostId id{};
+    ZoneIndex zone{};
+    KindIndex kind{};
+    CellId cell{};
+    double units = 1.0;
+    Availability availability = Availability::Ready;
+    Time launched{0};  // 0: long ago
+};
+
+// What a host says of its load; a value that it does not state stays empty.
+struct LoadReport {
+    std::optional<double> loadOverCapacity;
+    std::optional<double> pileUpSeconds;
+    std::optional<double> busy;  // share of its cores
+    std::optional<double> active;
+    std::optional<double> waiting;
+    std::optional<double> latencyMs;
+    std::optional<double> servedPerS;
+    std::optional<double> errorsPerS;
+};
+
+struct Started {};
+struct ListChanged {
+    ListKind kind = ListKind::Full;
+    std::vector<HostEntry> hosts;
+};
+struct Arrived {
+    RequestId request{};
+    ClassIndex cls{};
+    TenantIndex tenant{};
+    GroupId group{};
+    KeyId key{};
+    std::optional<double> loadHint;  // microseconds of work a second
+    Micros patience{0};
+    bool midFlow = false;  // packets of a connection that another node had
+    bool returning = false;
+};
+struct AlreadyOpen {  // a connection that stood when this node started
+    Arrived request;
+    HostId host{};
+};
+struct Established {
+    RequestId request{};
+    AttemptIndex attempt{};
+    HostId host{};
+    Micros waited{0};
+};
+struct LoadNote {
+    RequestId request{};
+    HostId host{};
+    double load = 0.0;  // microseconds of work a second
+};
+struct DelayNote {
+    RequestId request{};
+    HostId host{};
+    double messageMs = 0.0;
+};
+struct AttemptEnded {
+    RequestId request{};
+    AttemptIndex attempt{};
+    HostId host{};
+    Outcome outcome = Outcome::Ok;
+    Micros waited{0};
+    bool requestOver = false;
+    std::optional<LoadReport> report;
+};
+struct ClientLeft {
+    RequestId request{};
+};
+struct TimerDue {
+    TimerToken token{};
+};
+struct Probed {
+    HostId host{};
+    Outcome outcome = Outcome::Ok;
+    Micros waited{0};
+    std::optional<LoadReport> report;
+};
+
+using Event = std::variant<Started, ListChanged, Arrived, AlreadyOpen, Established, LoadNote, DelayNote,
+                           AttemptEnded, ClientLeft, TimerDue, Probed>;
+
+// ---- actions ----
+
+struct Send {
+    RequestId request{};
+    HostId host{};
+    Micros timeout{0};
+};
+struct Refuse {
+    RequestId request{};
+    Micros notBefore{0};  // 0: no advice
+};
+struct Fail {
+    RequestId request{};
+};
+struct Cancel {
+    RequestId request{};
+    AttemptIndex attempt{};
+};
+struct Move {  // end an open connection politely; its client comes again
+    RequestId request{};
+};
+struct Probe {
+    HostId host{};
+};
+struct Watch {  // subscribe to the list
+};
+struct SetTimer {
+    Micros after{0};
+    TimerToken token{};
+};
+struct Log {
+    std::string text;
+};
+
+using Action = std::variant<Send, Refuse, Fail, Cancel, Move, Probe, Watch, SetTimer, Log>;
+
+class Rules {
+  public:
+    Rules() = default;
+    Rules(const Rules&) = delete;
+    Rules& operator=(const Rules&) = delete;
+    Rules(Rules&&) = delete;
+    Rules& operator=(Rules&&) = delete;
+    virtual ~Rules() = default;
+
+    // Takes one event at the time `now` and appends the actions that answer it. Started comes first, once.
+    virtual void handle(Time now, const Event& event, std::vector<Action>& actions) = 0;
+};
+
+std::unique_ptr<Rules> makeRules(Settings settings);
+
+}  // namespace ivyreel
--- /dev/null
+++ b/src/simhost/dispatch.hpp
@@ -0,0 +1,54 @@
+// Turns the frames of the simulator into events for one Rules object per node id, and their actions into the
+// reply. It decides nothing, and nothing is shared between nodes but the numbered host lists of the wire.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "simhost/settings.hpp"
+#include "simhost/wire.hpp"
+
+namespace ivyreel::simhost {
+
+class Dispatcher {
+  public:
+    // Takes one whole frame and returns the bytes of its reply.
+    std::vector<std::uint8_t> answer(std::span<const std::uint8_t> frame);
+
+  private:
+    struct Node {
+        std::vector<ReportField> reportFields;
+        std::unique_ptr<Rules> rules;
+    };
+
+    void record(EventCode code, Reader& fields, Time now, Writer& reply);
+    void powerOn(Reader& fields, Time now, Writer& reply);
+    void deliver(Time now, const Event& event, Writer& reply);
+    void selectForReply(Writer& reply);
+    Node& node(const Reader& fields);
+    ListChanged rosterChange(Reader& fields) const;
+    std::vector<HostEntry> census(Reader& fields) const;
+    Arrived query(Reader& fields) const;
+    AlreadyOpen resumed(Reader& fields) const;
+    std::optional<Event> progress(Reader& fields) const;
+    AttemptEnded ended(Reader& fields);
+    Probed probed(Reader& fields);
+    std::optional<LoadReport> report(Reader& fields);
+
+    std::map<std::uint16_t, Node> nodes_;
+    std::array<std::vector<HostEntry>, kMaxSheets> sheets_;
+    std::optional<std::uint16_t> context_;
+    std::optional<std::uint16_t> replyContext_;
+    std::vector<Action> actions_;
+};
+
+// Answers frames until the input ends. Returns the exit code of the process.
+int serve(std::istream& in, std::ostream& out, std::ostream& errors);
+
+}  // namespace ivyreel::simhost
--- /dev/null
+++ b/src/simhost/settings.cpp
@@ -0,0 +1,201 @@
+#include "simhost/settings.hpp"
+
+#include <cmath>
+#include <initializer_list>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+namespace ivyreel::simhost {
+
+namespace {
+
+using Json = nlohmann::json;
+
+[[noreturn]] void reject(const std::string& path, const std::string& what) {
+    throw SettingsError("bad settings at " + path + ": " + what);
+}
+
+// One JSON object with its path, so that every complaint names its key.
+class Section {
+  public:
+    Section(const Json& value, std::string path) : value_(value), path_(std::move(path)) {
+        if (!value.is_object()) reject(path_, "expected an object");
+    }
+
+    double number(const char* key, double fallback, double least = -1e15, double most = 1e15) const {
+        const Json* found = find(key);
+        if (found == nullptr) return fallback;
+        if (!found->is_number()) reject(where(key), "expected a number");
+        const double value = found->get<double>();
+        if (!(value >= least && value <= most)) reject(where(key), "out of range");
+        return value;
+    }
+
+    Micros micros(const char* key, Micros fallback) const {
+        const auto value = number(key, static_cast<double>(fallback.count()), 0.0);
+        return Micros{static_cast<Micros::rep>(std::llround(value))};
+    }
+
+    std::uint32_t count(const char* key, std::uint32_t fallback, std::uint32_t least = 0) const {
+        return static_cast<std::uint32_t>(number(key, fallback, least, 4294967295.0));
+    }
+
+    bool flag(const char* key, bool fallback) const {
+        const Json* found = find(key);
+        if (found == nullptr) return fallback;
+        if (!found->is_boolean()) reject(where(key), "expected true or false");
+        return found->get<bool>();
+    }
+
+    template <class T>
+    T word(const char* key, T fallback, std::initializer_list<std::pair<const char*, T>> words) const {
+        const Json* found = find(key);
+        if (found == nullptr) return fallback;
+        if (!found->is_string()) reject(where(key), "expected a word");
+        for (const auto& [name, value] : words) {
+            if (found->get_ref<const std::string&>() == name) return value;
+        }
+        reject(where(key), "unknown word \"" + found->get<std::string>() + "\"");
+    }
+
+    Section section(const char* key) const {
+        static const Json kEmpty = Json::object();
+        const Json* found = find(key);
+        return Section{found == nullptr ? kEmpty : *found, where(key)};
+    }
+
+    const Json& list(const char* key) const {
+        static const Json kEmpty = Json::array();
+        const Json* found = find(key);
+        if (found == nullptr) return kEmpty;
+        if (!found->is_array()) reject(where(key), "expected a list");
+        return *found;
+    }
+
+    double listedNumber(const char* key, std::size_t index, double fallback) const {
+        const Json& values = list(key);
+        if (index >= values.size() || values[index].is_null()) return fallback;
+        if (!values[index].is_number()) reject(item(key, index), "expected a number");
+        return values[index].get<double>();
+    }
+
+    std::string item(const char* key, std::size_t index) const {
+        return where(key) + "[" + std::to_string(index) + "]";
+    }
+
+  private:
+    const Json* find(const char* key) const {
+        const auto found = value_.find(key);
+        return found == value_.end() || found->is_null() ? nullptr : &*found;
+    }
+    std::string where(const char* key) const { return path_.empty() ? key : path_ + "." + key; }
+
+    const Json& value_;
+    std::string path_;
+};
+
+ReportField reportField(const Json& name, const std::string& path) {
+    if (!name.is_string()) reject(path, "expected a word");
+    const std::pair<const char*, ReportField> names[] = {
+        {"active", ReportField::Active},
+        {"waiting", ReportField::Waiting},
+        {"cpu", ReportField::Busy},
+        {"avg_ms", ReportField::LatencyMs},
+        {"rps", ReportField::ServedPerS},
+        {"err_rps", ReportField::ErrorsPerS},
+        {"x0", ReportField::LoadOverCapacity},
+        {"x1", ReportField::PileUp},
+    };
+    for (const auto& [word, field] : names) {
+        if (name.get_ref<const std::string&>() == word) return field;
+    }
+    return ReportField::Unknown;
+}
+
+}  // namespace
+
+NodeSettings parseSettings(std::string_view text) {
+    Json document;
+    try {
+        document = Json::parse(text);
+    } catch (const Json::parse_error& error) {
+        throw SettingsError("bad settings at byte " + std::to_string(error.byte) + ": not JSON");
+    }
+    const Section root{document, ""};
+    NodeSettings node;
+    Settings& s = node.settings;
+
+    s.nodeIndex = root.count("me", s.nodeIndex);
+    s.nodes = root.count("instances", s.nodes, 1);
+    s.zone = ZoneIndex{root.count("zone", 0)};
+    s.resolution = root.micros("resolution", s.resolution);
+    s.overShareWorth = root.number("overShareWorth", s.overShareWorth);
+    s.listMode = root.word("registryMode", s.listMode, {{"push", ListMode::Push}, {"ask", ListMode::Ask}});
+    s.weightKind = root.word("weightKind", s.weightKind,
+                             {{"off", WeightKind::None},
+                              {"nominal", WeightKind::Nominal},
+                              {"rough", WeightKind::Rough},
+                              {"live", WeightKind::Live}});
+
+    const Section bounds = root.section("bounds");
+    s.limits.attempts = static_cast<int>(bounds.number("attemptsCap", s.limits.attempts, 1, 255));
+    s.limits.cancel = bounds.flag("cancel", s.limits.cancel);
+    s.limits.secondCopies = bounds.flag("secondCopies", s.limits.secondCopies);
+    s.limits.probes = bounds.flag("probes", s.limits.probes);
+    s.limits.retryAfter = bounds.flag("retryAfter", s.limits.retryAfter);
+    s.limits.maxRetryAfter = bounds.micros("maxRetryAfter", s.limits.maxRetryAfter);
+    s.limits.connectTimeout = bounds.micros("connectTimeout", s.limits.connectTimeout);
+
+    const Section rules = root.section("rules");
+    s.rules.answerSlack = rules.micros("answerSlack", s.rules.answerSlack);
+    s.rules.drainGrace = rules.micros("drainGrace", s.rules.drainGrace);
+    s.rules.coldShare = rules.number("coldShare", s.rules.coldShare, 0, 1);
+    s.rules.warmAfter = rules.micros("warmAfter", s.rules.warmAfter);
+    s.rules.fallMultiple = rules.number("fallMultiple", s.rules.fallMultiple, 0);
+    s.rules.fall = rules.micros("fall", s.rules.fall);
+    s.rules.mustAskIn = rules.micros("mustAskIn", s.rules.mustAskIn);
+
+    const Section family = root.section("familyInfo");
+    s.groupsShareWork = family.flag("groups", s.groupsShareWork);
+    s.flowMode = family.word("mode", s.flowMode, {{"proxy", FlowMode::Proxy}, {"pass", FlowMode::Pass}});
+
+    const Section report = root.section("report");
+    s.reportMode = report.word(
+        "how", s.reportMode,
+        {{"inline", ReportMode::WithAnswers}, {"on_probe", ReportMode::ByProbe}, {"off", ReportMode::None}});
+    const Json& fields = report.list("fields");
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+        node.reportFields.push_back(reportField(fields[i], report.item("fields", i)));
+    }
+
+    const Json& classes = root.list("grades");
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        const Section from{classes[i], root.item("grades", i)};
+        ClassSettings cls;
+        cls.aim = from.micros("aim", cls.aim);
+        cls.giveUp = from.micros("giveUp", cls.giveUp);
+        cls.effect =
+            from.word("repeat", cls.effect,
+                      {{"free", Effect::Safe}, {"guarded", Effect::Keyed}, {"single_shot", Effect::Unsafe}});
+        cls.group =
+            from.word("group", cls.group,
+                      {{"all", RepeatGroup::All}, {"zone", RepeatGroup::Zone}, {"cell", RepeatGroup::Cell}});
+        cls.repeatWindow = from.micros("dedupWindow", cls.repeatWindow);
+        cls.worth = from.number("worth", cls.worth);
+        const double messageAim = family.listedNumber("messageAim", i, 0.0);
+        cls.messageAim = Micros{static_cast<Micros::rep>(messageAim)};
+        s.classes.push_back(cls);
+    }
+    const Json& tenants = root.list("tenants");
+    for (std::size_t i = 0; i < tenants.size(); ++i) {
+        const Section from{tenants[i], root.item("tenants", i)};
+        TenantSettings tenant;
+        tenant.share = from.number("share", tenant.share);
+        tenant.quotaConnections = family.listedNumber("tenantQuotaConnections", i, 0.0);
+        s.tenants.push_back(tenant);
+    }
+    return node;
+}
+
+}  // namespace ivyreel::simhost
