Admit and shed by room, so that an overloaded fleet keeps serving

Change: no host takes a connection from 92 per cent on; a host past its capacity sheds to 0.9 even where no other has room; a request waits for room for 0.8 of its aim, then is refused.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,8 +40,11 @@
 constexpr double kRelievedTo = 0.8;         // load over capacity that moves aim for, with room for swings
 constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
 constexpr double kEvacuateShare = 0.05;     // of a host's connections a tick: a fifth of a second for most
-constexpr double kBusyFleet = 75;           // mean per cent from which over-share tenants are refused
-constexpr Micros kWatchBackoff = 500ms;     // first wait after the list failed; doubles, jittered
+constexpr double kAdmitBelow = 92;          // per cent: a fuller host misses message aims if it takes more
+constexpr double kShedTo = 0.9;             // load over capacity left on a host where no other has room
+constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
+constexpr double kBusyFleet = 75;        // mean per cent from which over-share tenants are refused
+constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
 // ---- small helpers ----
 
@@ -408,7 +411,9 @@
         if (refuseAtOnce(r)) return finish(id, r);
         Host* host = choose(r);
         if (host == nullptr) {
-            if (!repeatable(r)) finish(id, r);  // otherwise it is held: a host may come back
+            // It is held while a host may come back or room appear, then refused before its aim has passed.
+            const bool heldLong = now_ >= r.arrivedAt + scaled(classOf(r).aim, kHoldShare);
+            if (!repeatable(r) || (heldLong && mayRefuse(r))) finish(id, r);
             return;
         }
         send(id, r, *host);
@@ -472,6 +477,9 @@
         std::vector<Candidate> result;
         for (auto& [id, host] : hosts_) {
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
+            // Departure, admission control: no host takes more than it can serve. Prevents that an overloaded
+            // fleet places everything and serves nobody within the message aim.
+            if (utilisation(host) >= kAdmitBelow && mayRefuse(r)) continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
@@ -694,7 +702,8 @@
             room += std::max(0.0, kRelievedTo - other.load) * warmth(other);
         }
         const double own = host.ownLoad * (host.load - kRelievedTo) / host.load;
-        moveOff(host, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes)));
+        const double shed = host.ownLoad * (host.load - kShedTo) / host.load;
+        moveOff(host, std::max(shed, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes))));
         host.moveNext = now_ + kMoveSettle;
     }
 
