--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,6 +36,8 @@
 constexpr double kColdSafety = 0.5;         // part of the cold budget used: peers and clocks are uneven
 constexpr double kUsualLoad = 40'000;       // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;          // weight of one load note in the mean of a class
+constexpr double kLeastCapacity = 2e6;      // us of work a second: two cores, the smallest host to expect
+constexpr double kMostCapacity = 64e6;      // us of work a second: a node that just started sees little
 constexpr double kOverdriven = 1.0;         // load over capacity: beyond, messages pile up
 constexpr double kRelievedTo = 0.8;         // load over capacity that moves aim for, with room for swings
 constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
@@ -83,6 +85,7 @@
 }
 
 struct Placement {
+    RequestId by;
     Time at;
     double load;
 };
@@ -95,8 +98,10 @@
     Time reportedAt{0};
     int utilisation = 0;  // 0 to 100
     double load = 0.0;    // load over capacity, unclamped
+    double active = 0.0;  // requests held, where told
     // probes and health
     Time probeDue{0};
+    bool probed = false;
     bool probeOut = false;
     int probeFailures = 0;
     int attemptFailures = 0;
@@ -157,6 +162,10 @@
     }
 
     void on(const TimerDue&) {
+        for (auto& [id, host] :
+             hosts_) {  // without reports, what was sent long ago stands in no balance either
+            std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kFreshFor; });
+        }
         act(SetTimer{tick_, TimerToken{0}});
         if (s_.listMode == ListMode::Ask && now_ >= watchDue_) watch();
         probeDueHosts();
@@ -211,8 +220,7 @@
         host.entry = entry;
         host.listed = entry.availability != Availability::Gone;
         if (fresh) {
-            // A node that starts asks all at once; later hosts are asked in a phase of this node's own.
-            host.probeDue = now_ == startedAt_ ? now_ : now_ + scaled(kProbeEvery / 4, random_.next());
+            host.probeDue = now_;  // at once; the steady probes that follow are in a phase of their own
             host.coldNext = now_ + scaled(s_.rules.fall, random_.next());
         }
     }
@@ -225,8 +233,8 @@
             if (!host.listed || host.probeOut || now_ < host.probeDue) continue;
             act(Probe{id});
             host.probeOut = true;
-            const bool first = host.probeDue <= startedAt_;
-            host.probeDue = now_ + (first ? scaled(kProbeEvery, 0.5 + random_.next()) : kProbeEvery);
+            host.probeDue = now_ + (host.probed ? kProbeEvery : scaled(kProbeEvery, 0.5 + random_.next()));
+            host.probed = true;
         }
     }
 
@@ -247,6 +255,7 @@
     // Maps a report to a utilisation: load over capacity where it is told, else busy cores, else how the
     // host's own count of requests stands against the fleet's mean, which then counts as the draft's 50.
     void take(Host& host, const LoadReport& report) {
+        host.active = report.active.value_or(0.0);
         if (report.loadOverCapacity) {
             host.load = *report.loadOverCapacity;
         } else if (report.busy) {
@@ -272,28 +281,39 @@
         double sum = 0.0;
         double loads = 0.0;
         double own = 0.0;
+        double active = 0.0;
+        int ownOpen = 0;
         int count = 0;
         for (const auto& [id, host] : hosts_) {
             if (!host.listed || !fresh(host)) continue;
             sum += host.utilisation;
             loads += host.load;
-            own += host.ownLoad;
+            own += host.ownLoad - sentSince(host);  // the figures do not show these yet
+            ownOpen += host.ownOpen - static_cast<int>(host.recent.size());
+            active += host.active;
             ++count;
         }
         meanUtilisation_ = count > 0 ? sum / count : kUnknownUtilisation;
-        // What one unit of this node's load adds to a host, over its capacity; the others carry as much each.
-        if (own > 0) loadShare_ = loads / (own * s_.nodes);
+        // What one unit of load adds to a host, over its capacity. The hosts' own counts tell how much there
+        // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
+        const double all = active > 0 && ownOpen > 0 ? active * own / ownOpen : own * s_.nodes;
+        const double capacity = loads > 0 ? all / loads : 0.0;
+        loadShare_ = 1.0 / std::clamp(capacity, kLeastCapacity, kMostCapacity);
+    }
+
+    double sentSince(const Host& host) const {
+        double since = 0.0;
+        for (const Placement& p : host.recent) {
+            since += p.load;
+        }
+        return since;
     }
 
     double utilisation(const Host& host) const {
         const double stated = fresh(host) ? host.utilisation : meanUtilisation_;
         // Departure, accounting between reports: what was sent since the figure was taken is added to it,
         // times the number of nodes, who see the same figure. Prevents herding onto a host that reported low.
-        double since = 0.0;
-        for (const Placement& p : host.recent) {
-            if (p.at >= now_ - kFreshFor) since += p.load;
-        }
-        return std::min(kFull, stated + kFull * since * loadShare_ * s_.nodes);
+        return std::min(kFull, stated + kFull * sentSince(host) * loadShare_ * s_.nodes);
     }
 
     // ---- health ----
@@ -342,8 +362,7 @@
     void spendCold(Host& host, double load) {
         const double warm = warmth(host);
         if (warm >= 1.0) return;
-        const double capacity = loadShare_ > 0 ? 1.0 / loadShare_ : kUsualLoad * 2;
-        const double perSecond = kColdSafety * s_.rules.fallMultiple * warm * capacity /
+        const double perSecond = kColdSafety * s_.rules.fallMultiple * warm / loadShare_ /
                                  seconds(s_.rules.warmAfter) / static_cast<double>(s_.nodes);
         const double wait = perSecond > 0 ? load / perSecond : seconds(s_.rules.warmAfter);
         host.coldNext = now_ + scaled(1s, std::min(wait, seconds(s_.rules.warmAfter)));
@@ -390,6 +409,9 @@
     void count(const Request& r, int step) {
         if (Host* host = find(r.host)) {
             host->ownOpen += step;
+            // What has ended again is no longer on its way into the host's figure.
+            if (step < 0)
+                std::erase_if(host->recent, [&r](const Placement& p) { return p.by == r.asked.request; });
             host->ownLoad = host->ownOpen > 0 ? std::max(0.0, host->ownLoad + step * r.load) : 0.0;
         }
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
@@ -446,6 +468,7 @@
     };
 
     Host* choose(const Request& r) {
+        measureFleet();
         std::vector<Candidate> candidates = candidatesFor(r, true);
         if (candidates.empty()) candidates = candidatesFor(r, false);
         if (candidates.empty()) return nullptr;
@@ -527,7 +550,7 @@
         r.sentAt = now_;
         r.out = true;
         ++r.attempts;
-        host.recent.push_back({now_, r.load});
+        host.recent.push_back({id, now_, r.load});
         spendCold(host, r.load);
         attach(r);
         act(Send{id, host.entry.id, timeoutFor(r)});
@@ -694,7 +717,7 @@
     // Departure: a host that reports more load than it can carry serves nobody well. This node moves its part
     // of the excess, whole groups first met, as far as the others have room.
     void relieve(Host& host) {
-        if (host.load <= kOverdriven || now_ < host.moveNext || host.ownOpen == 0 || loadShare_ <= 0) return;
+        if (host.load <= kOverdriven || now_ < host.moveNext || host.ownOpen == 0) return;
         double room = 0.0;
         for (const auto& [id, other] : hosts_) {
             if (&other == &host || !ready(other) || unhealthy(other) || ejected(other) || !fresh(other))
@@ -738,7 +761,8 @@
         for (auto& [id, host] : hosts_) {
             const bool draining = host.listed && host.entry.availability == Availability::Draining;
             const bool lost = host.listed && host.probeFailures > kProbeFailures;
-            if (host.ownOpen > 0 && (draining || lost)) moveOff(host, host.ownLoad * kEvacuateShare);
+            if (host.ownOpen == 0 || (!draining && !lost)) continue;
+            moveOff(host, std::max(host.ownLoad * kEvacuateShare, host.ownLoad / host.ownOpen));
         }
     }
 
@@ -767,7 +791,7 @@
     std::vector<double> classLoad_;                      // mean load of a connection, by class
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
-    double loadShare_ = 0.0;  // of a host's capacity, for one unit of load
+    double loadShare_ = 1.0 / kLeastCapacity;  // of a host's capacity, for one unit of load
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
     Time watchDue_{Time::max()};
--- /dev/null
+++ b/tests/draw_test.cpp
@@ -0,0 +1,116 @@
+// The ordinary path: the draw in proportion to 100 minus utilisation, freshness, missing figures.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+
+#include "driver.hpp"
+
+namespace ivyreel::test {
+namespace {
+
+// Sends `draws` requests that end at once and returns each host's share.
+std::map<std::uint64_t, double> shares(Driver& d, int draws, bool grouped = false) {
+    std::map<std::uint64_t, double> result;
+    for (int i = 0; i < draws; ++i) {
+        const RequestId request = d.ask(grouped ? static_cast<std::uint64_t>(i) + 1 : 0);
+        result[d.target(request)] += 1.0 / draws;
+        d.end(request, Outcome::Ok, true);
+    }
+    return result;
+}
+
+constexpr int kDraws = 20'000;
+constexpr double kBound = 0.015;  // over four standard deviations of a share of 20,000 draws
+
+TEST(Draw, SharesFollowHundredMinusUtilisation) {
+    Driver d{usualSettings()};
+    d.load(1, 0.50);
+    d.load(2, 0.75);
+    d.load(3, 0.10);
+    d.list({host(1), host(2), host(3)});
+    const auto share = shares(d, kDraws);
+    EXPECT_NEAR(share.at(1), 50.0 / 165, kBound);
+    EXPECT_NEAR(share.at(2), 25.0 / 165, kBound);
+    EXPECT_NEAR(share.at(3), 90.0 / 165, kBound);
+}
+
+TEST(Draw, AFullHostDrawsNothing) {
+    Driver d{usualSettings()};
+    d.load(1, 0.50);
+    d.load(2, 1.40);
+    d.list({host(1), host(2)});
+    EXPECT_EQ(shares(d, 500).count(2), 0U);
+}
+
+TEST(Draw, AMissingFigureCountsAsTheMeanOfTheFreshOnes) {
+    Driver d{usualSettings()};
+    d.load(1, 0.20);
+    d.load(2, 0.60);
+    d.list({host(1), host(2), host(3)});
+    d.pass(200ms);
+    const auto share = shares(d, kDraws);
+    EXPECT_NEAR(share.at(1), 80.0 / 180, kBound);
+    EXPECT_NEAR(share.at(2), 40.0 / 180, kBound);
+    EXPECT_NEAR(share.at(3), 60.0 / 180, kBound);
+}
+
+TEST(Draw, WithNoFreshFigureAllStandEqual) {
+    Driver d{usualSettings()};
+    d.list({host(1), host(2)});
+    d.pass(200ms);
+    EXPECT_NEAR(shares(d, kDraws).at(1), 0.5, kBound);
+}
+
+TEST(Draw, AFigureCountsUntilItIsFiveSecondsOld) {
+    Settings settings = usualSettings();
+    settings.limits.probes = false;
+    for (const bool stale : {false, true}) {
+        Driver d{settings};
+        d.list({host(1), host(2)});
+        d.give(Probed{HostId{1}, Outcome::Ok, 1ms, loadOf(0.9)});
+        d.pass(stale ? 4s : 1s);
+        d.give(Probed{HostId{2}, Outcome::Ok, 1ms, loadOf(0.1)});
+        d.pass(stale ? 1s : 3999ms);
+        const auto share = shares(d, kDraws);
+        // Stale, the first counts as the mean of the fresh ones, which is the second's figure.
+        EXPECT_NEAR(share.at(1), stale ? 0.5 : 0.1, kBound) << "stale " << stale;
+    }
+}
+
+TEST(Draw, OverGroupsTheSharesFollowTheSameWeights) {
+    Settings settings = usualSettings();
+    settings.groupsShareWork = true;
+    Driver d{settings};
+    d.load(1, 0.50);
+    d.load(2, 0.75);
+    d.load(3, 0.10);
+    d.list({host(1), host(2), host(3)});
+    const auto share = shares(d, kDraws, true);
+    EXPECT_NEAR(share.at(1), 50.0 / 165, kBound);
+    EXPECT_NEAR(share.at(2), 25.0 / 165, kBound);
+    EXPECT_NEAR(share.at(3), 90.0 / 165, kBound);
+}
+
+TEST(Draw, AGroupMeetsOnOneHostAtEveryNode) {
+    Settings settings = usualSettings();
+    settings.groupsShareWork = true;
+    std::uint64_t first = 0;
+    for (std::uint64_t seed = 1; seed < 6; ++seed) {
+        settings.seed = seed;
+        Driver d{settings};
+        std::vector<HostEntry> hosts;
+        for (std::uint64_t id = 1; id <= 12; ++id) {
+            d.load(id, 0.3);
+            hosts.push_back(host(id));
+        }
+        d.list(hosts);
+        const std::uint64_t target = d.target(d.ask(99));
+        EXPECT_EQ(d.target(d.ask(99)), target);
+        if (first == 0) first = target;
+        EXPECT_EQ(target, first);
+    }
+}
+
+}  // namespace
+}  // namespace ivyreel::test
--- /dev/null
+++ b/tests/driver.hpp
@@ -0,0 +1,172 @@
+// Drives one Rules object through scenarios: a clock, its timers, and the actions it took.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "rules.hpp"
+
+namespace ivyreel::test {
+
+using namespace std::chrono_literals;
+
+inline Settings usualSettings() {
+    Settings s;
+    s.seed = 7;
+    s.nodes = 3;
+    s.classes = {ClassSettings{800ms, 3200ms, Effect::Safe, RepeatGroup::All, 5s, 1.0, 100ms}};
+    s.limits = Limits{4, true, false, true, true, 1500ms, 250ms};
+    s.rules = RuleFigures{16ms, 500ms, 0.3, 9s, 4.0, 1500ms, 10s};
+    s.reportMode = ReportMode::ByProbe;
+    return s;
+}
+
+inline HostEntry host(std::uint64_t id, std::uint32_t zone = 0, std::uint32_t cell = 0) {
+    HostEntry entry;
+    entry.id = HostId{id};
+    entry.zone = ZoneIndex{zone};
+    entry.cell = CellId{cell};
+    return entry;
+}
+
+inline LoadReport loadOf(double loadOverCapacity) {
+    LoadReport report;
+    report.loadOverCapacity = loadOverCapacity;
+    return report;
+}
+
+class Driver {
+  public:
+    explicit Driver(Settings settings, Time start = 1000s)
+        : now_(start), rules_(makeRules(std::move(settings))) {
+        give(Started{});
+    }
+
+    Time now() const { return now_; }
+    const std::vector<Action>& actions() const { return actions_; }
+
+    void give(const Event& event) {
+        std::vector<Action> fresh;
+        rules_->handle(now_, event, fresh);
+        for (const Action& action : fresh) {
+            if (const auto* timer = std::get_if<SetTimer>(&action))
+                timers_.emplace(now_ + timer->after, timer->token);
+            actions_.push_back(action);
+        }
+    }
+
+    // Lets time pass; timers fire when due, and probes are answered where a load was set for their host.
+    void pass(Micros span) {
+        const Time end = now_ + span;
+        for (;;) {
+            answerProbes();
+            if (timers_.empty() || timers_.begin()->first > end) break;
+            const auto [due, token] = *timers_.begin();
+            timers_.erase(timers_.begin());
+            now_ = std::max(now_, due);
+            give(TimerDue{token});
+        }
+        now_ = end;
+    }
+
+    void list(std::vector<HostEntry> hosts, ListKind kind = ListKind::Full) {
+        give(ListChanged{kind, std::move(hosts)});
+        answerProbes();
+    }
+
+    void load(std::uint64_t id, double loadOverCapacity) { loads_[HostId{id}] = loadOverCapacity; }
+    void silence(std::uint64_t id) { loads_.erase(HostId{id}); }
+    void failProbes(std::uint64_t id) { loads_[HostId{id}] = -1.0; }
+
+    RequestId ask(std::uint64_t group = 0, Micros patience = 3200ms, std::uint32_t cls = 0,
+                  std::uint32_t tenant = 0) {
+        Arrived request;
+        request.request = RequestId{++lastRequest_};
+        request.cls = ClassIndex{cls};
+        request.tenant = TenantIndex{tenant};
+        request.group = GroupId{group};
+        request.patience = patience;
+        give(request);
+        return request.request;
+    }
+
+    // The host that the request was sent to last, 0 if none.
+    std::uint64_t target(RequestId request) const {
+        std::uint64_t result = 0;
+        for (const Action& action : actions_) {
+            const auto* send = std::get_if<Send>(&action);
+            if (send != nullptr && send->request == request) result = static_cast<std::uint64_t>(send->host);
+        }
+        return result;
+    }
+
+    int sends(RequestId request) const {
+        return count<Send>([request](const Send& a) { return a.request == request; });
+    }
+    int refusals(RequestId request) const {
+        return count<Refuse>([request](const Refuse& a) { return a.request == request; });
+    }
+    int failures(RequestId request) const {
+        return count<Fail>([request](const Fail& a) { return a.request == request; });
+    }
+    int finals(RequestId request) const { return refusals(request) + failures(request); }
+    int sendsTo(std::uint64_t id) const {
+        return count<Send>([id](const Send& a) { return a.host == HostId{id}; });
+    }
+    int probesOf(std::uint64_t id) const {
+        return count<Probe>([id](const Probe& a) { return a.host == HostId{id}; });
+    }
+    template <class A>
+    int count() const {
+        return count<A>([](const A&) { return true; });
+    }
+    template <class A, class Match>
+    int count(Match match) const {
+        return static_cast<int>(std::count_if(actions_.begin(), actions_.end(), [&](const Action& action) {
+            const auto* found = std::get_if<A>(&action);
+            return found != nullptr && match(*found);
+        }));
+    }
+
+    void establish(RequestId request) {
+        give(Established{request, attempt(request), HostId{target(request)}, 30ms});
+    }
+
+    void end(RequestId request, Outcome outcome, bool requestOver = false) {
+        give(
+            AttemptEnded{request, attempt(request), HostId{target(request)}, outcome, 30ms, requestOver, {}});
+    }
+
+  private:
+    AttemptIndex attempt(RequestId request) const {
+        return AttemptIndex{static_cast<std::uint8_t>(sends(request) - 1)};
+    }
+
+    void answerProbes() {
+        while (answered_ < actions_.size()) {
+            const auto* probe = std::get_if<Probe>(&actions_[answered_++]);
+            const auto known = probe != nullptr ? loads_.find(probe->host) : loads_.end();
+            if (known == loads_.end()) continue;
+            const HostId id = known->first;
+            if (known->second < 0.0) {
+                give(Probed{id, Outcome::Timeout, 250ms, {}});
+            } else {
+                give(Probed{id, Outcome::Ok, 1ms, loadOf(known->second)});
+            }
+        }
+    }
+
+    Time now_;
+    std::unique_ptr<Rules> rules_;
+    std::vector<Action> actions_;
+    std::multimap<Time, TimerToken> timers_;
+    std::map<HostId, double> loads_;
+    std::size_t answered_ = 0;
+    std::uint64_t lastRequest_ = 0;
+};
+
+}  // namespace ivyreel::test
--- /dev/null
+++ b/tests/module_test.cpp
@@ -0,0 +1,393 @@
+// The departures and the rest of the behaviour, each against the failure that it prevents.
+#include <gtest/gtest.h>
+
+#include "driver.hpp"
+
+namespace ivyreel::test {
+namespace {
+
+Driver fleet(Settings settings, std::uint64_t hosts, double load) {
+    Driver d{std::move(settings)};
+    std::vector<HostEntry> entries;
+    for (std::uint64_t id = 1; id <= hosts; ++id) {
+        d.load(id, load);
+        entries.push_back(host(id));
+    }
+    d.list(std::move(entries));
+    return d;
+}
+
+// ---- following the list ----
+
+Settings asking() {
+    Settings settings = usualSettings();
+    settings.listMode = ListMode::Ask;
+    return settings;
+}
+
+TEST(List, IsWatchedFromTheStartWhereItMustBeAsked) {
+    EXPECT_EQ(Driver{asking()}.count<Watch>(), 1);
+    EXPECT_EQ(Driver{usualSettings()}.count<Watch>(), 0);
+}
+
+TEST(List, IsWatchedAgainAfterEachFailureWellInsideTheTimeAllowed) {
+    Driver d{asking()};
+    for (int failures = 1; failures < 8; ++failures) {
+        d.give(ListChanged{ListKind::Failed, {}});
+        EXPECT_EQ(d.count<Watch>(), failures) << "not at once: the list is overloaded already";
+        d.pass(5s);
+        EXPECT_EQ(d.count<Watch>(), failures + 1);
+    }
+}
+
+TEST(List, IsNotAskedAgainOnceWatched) {
+    Driver d{asking()};
+    d.list({host(1)});
+    d.pass(60s);
+    EXPECT_EQ(d.count<Watch>(), 1);
+}
+
+TEST(List, IsAskedAgainWhenNoAnswerComesAtAll) {
+    Driver d{asking()};
+    d.list({host(1)}, ListKind::Cached);
+    d.pass(9s);
+    EXPECT_GE(d.count<Watch>(), 2);
+}
+
+TEST(List, ACachedListServesUntilTheFirstAnswer) {
+    Driver d{asking()};
+    d.load(1, 0.3);
+    d.list({host(1)}, ListKind::Cached);
+    EXPECT_EQ(d.target(d.ask()), 1U);
+}
+
+TEST(List, ARestartUnderTheSameIdForgetsTheOldFigures) {
+    Driver d = fleet(usualSettings(), 1, 1.5);
+    const RequestId refused = d.ask();
+    EXPECT_EQ(d.sends(refused), 0);
+    HostEntry again = host(1);
+    again.launched = d.now();
+    d.load(1, 0.0);
+    d.list({again}, ListKind::Delta);
+    d.pass(2s);
+    EXPECT_EQ(d.target(d.ask()), 1U);
+}
+
+// ---- probes ----
+
+TEST(Probes, AreSteadyForEveryListedHostDrainingOnesIncluded) {
+    Driver d = fleet(usualSettings(), 3, 0.3);
+    HostEntry draining = host(3);
+    draining.availability = Availability::Draining;
+    d.list({draining}, ListKind::Delta);
+    d.pass(20s);
+    for (const std::uint64_t id : {1, 2, 3}) {
+        EXPECT_GE(d.probesOf(id), 18);
+        EXPECT_LE(d.probesOf(id), 22);
+    }
+}
+
+TEST(Probes, AreNotInStepBetweenHosts) {
+    Driver d = fleet(usualSettings(), 8, 0.3);
+    const int atStart = d.count<Probe>();
+    EXPECT_EQ(atStart, 8);
+    d.pass(1s);
+    EXPECT_GT(d.count<Probe>(), atStart);
+    EXPECT_LT(d.count<Probe>(), 2 * atStart);
+}
+
+TEST(Probes, AreNotSentWhereTheyAreNotAllowed) {
+    Settings settings = usualSettings();
+    settings.limits.probes = false;
+    Driver d = fleet(settings, 3, 0.3);
+    d.pass(10s);
+    EXPECT_EQ(d.count<Probe>(), 0);
+    EXPECT_NE(d.target(d.ask()), 0U);
+}
+
+TEST(Probes, TwoFailuresTakeAHostOutAndOneAnswerBringsItBack) {
+    Driver d = fleet(usualSettings(), 2, 0.3);
+    d.failProbes(1);
+    d.pass(3s);
+    const int before = d.sendsTo(1);
+    for (int i = 0; i < 50; ++i) {
+        d.end(d.ask(), Outcome::Ok, true);
+    }
+    EXPECT_EQ(d.sendsTo(1), before);
+    d.load(1, 0.3);
+    d.pass(2s);
+    for (int i = 0; i < 50; ++i) {
+        d.end(d.ask(), Outcome::Ok, true);
+    }
+    EXPECT_GT(d.sendsTo(1), before);
+}
+
+TEST(Probes, ConnectionsOfAHostThatAnswersNoneAreBroughtElsewhere) {
+    Driver d = fleet(usualSettings(), 2, 0.3);
+    for (int i = 0; i < 40; ++i) {
+        d.establish(d.ask());
+    }
+    const int there = d.sendsTo(1);
+    d.failProbes(1);
+    d.pass(8s);
+    EXPECT_EQ(d.count<Move>(), there);
+}
+
+// ---- health ----
+
+TEST(Health, AHostThatFailsAtOnceIsEjectedThoughItReportsLittleLoad) {
+    Driver d = fleet(usualSettings(), 4, 0.5);
+    d.load(1, 0.0);
+    d.pass(2s);
+    int failed = 0;
+    for (int i = 0; i < 200; ++i) {
+        const RequestId request = d.ask();
+        if (d.target(request) == 1) {
+            d.end(request, Outcome::Error);
+            ++failed;
+        }
+        d.end(request, Outcome::Ok, true);
+    }
+    EXPECT_LE(failed, 5);
+}
+
+TEST(Health, NeverMoreThanAThirdOfTheHostsAreEjected) {
+    Driver d = fleet(usualSettings(), 6, 0.3);
+    for (int i = 0; i < 100; ++i) {
+        const RequestId request = d.ask();
+        for (int attempt = 0; attempt < 4; ++attempt) {
+            d.end(request, Outcome::Error);
+        }
+    }
+    std::vector<int> before;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        before.push_back(d.sendsTo(id));
+    }
+    for (int i = 0; i < 300; ++i) {
+        d.end(d.ask(), Outcome::Ok, true);
+    }
+    int used = 0;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        used += d.sendsTo(id) > before[id - 1] ? 1 : 0;
+    }
+    EXPECT_GE(used, 4);
+}
+
+// ---- accounting between reports ----
+
+TEST(Accounting, ABurstAfterALowReportDoesNotAllGoToOneHost) {
+    Driver d = fleet(usualSettings(), 2, 0.5);
+    for (int i = 0; i < 40; ++i) {
+        d.establish(d.ask());
+    }
+    d.pass(3s);
+    d.load(1, 0.1);
+    d.load(2, 0.8);
+    d.pass(1s);
+    const int before = d.sendsTo(1);
+    int first = 0;
+    for (int i = 0; i < 60; ++i) {
+        first += d.target(d.ask()) == 1 ? 1 : 0;
+    }
+    EXPECT_EQ(d.sendsTo(1) - before, first);
+    EXPECT_GT(first, 10);
+    EXPECT_LT(first, 40) << "by the stale figures alone it would be 49";
+}
+
+// ---- admission ----
+
+TEST(Admission, WaitsForRoomThenRefusesWithinTheAim) {
+    Driver d = fleet(usualSettings(), 3, 1.3);
+    const RequestId request = d.ask();
+    d.pass(300ms);
+    EXPECT_EQ(d.finals(request), 0);
+    d.pass(500ms);
+    EXPECT_EQ(d.refusals(request), 1);
+    EXPECT_EQ(d.sends(request), 0);
+    const int advised =
+        d.count<Refuse>([](const Refuse& a) { return a.notBefore > 0ms && a.notBefore <= 1500ms; });
+    EXPECT_EQ(advised, 1);
+}
+
+TEST(Admission, PlacesAHeldRequestAsSoonAsRoomAppears) {
+    Driver d = fleet(usualSettings(), 2, 1.3);
+    const RequestId request = d.ask();
+    EXPECT_EQ(d.sends(request), 0);
+    d.give(Probed{HostId{2}, Outcome::Ok, 1ms, loadOf(0.4)});
+    EXPECT_EQ(d.target(request), 2U);
+}
+
+TEST(Admission, WhatMayNotBeRefusedIsDrawnEvenlyWhereAllWeightsAreZero) {
+    Settings settings = usualSettings();
+    settings.classes[0].effect = Effect::Keyed;
+    settings.classes[0].group = RepeatGroup::Zone;
+    int second = 0;
+    for (std::uint64_t seed = 0; seed < 400; ++seed) {
+        settings.seed = seed;
+        Driver d = fleet(settings, 3, 0.3);
+        const RequestId request = d.ask();
+        const std::uint64_t first = d.target(request);
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            d.give(Probed{HostId{id}, Outcome::Ok, 1ms, loadOf(1.5)});
+        }
+        d.end(request, Outcome::Error);
+        ASSERT_EQ(d.sends(request), 2);
+        if (d.target(request) == first % 3 + 1) ++second;
+    }
+    EXPECT_NEAR(second, 200, 50);  // five standard deviations
+}
+
+TEST(Admission, ATenantOverItsShareYieldsOnABusyFleet) {
+    Settings settings = usualSettings();
+    settings.overShareWorth = 0.1;
+    settings.tenants = {TenantSettings{0.5, 30.0}, TenantSettings{0.5, 30.0}};
+    Driver d = fleet(settings, 3, 0.5);
+    for (int i = 0; i < 12; ++i) {
+        d.establish(d.ask(0, 3200ms, 0, 0));  // 12 on one node of 3: 36 in all
+    }
+    EXPECT_NE(d.target(d.ask(0, 3200ms, 0, 0)), 0U) << "there is room: nobody is refused";
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        d.load(id, 0.85);
+    }
+    d.pass(2s);
+    EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 0)), 1);
+    EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 1)), 0);
+}
+
+// ---- moves ----
+
+TEST(Moves, AnOverdrivenHostIsRelievedInSteps) {
+    Driver d = fleet(usualSettings(), 4, 0.4);
+    for (int i = 0; i < 80; ++i) {
+        d.establish(d.ask());
+    }
+    const int there = d.sendsTo(1);
+    d.load(1, 1.6);
+    d.pass(1500ms);
+    const int moved = d.count<Move>();
+    EXPECT_GE(moved, there / 4);
+    EXPECT_LE(moved, there * 3 / 4);
+    d.load(1, 0.8);
+    d.pass(20s);
+    EXPECT_EQ(d.count<Move>(), moved) << "a host that is relieved is left alone";
+}
+
+TEST(Moves, NothingMovesOnAQuietFleet) {
+    Driver d = fleet(usualSettings(), 4, 0.6);
+    for (int i = 0; i < 80; ++i) {
+        d.establish(d.ask());
+    }
+    d.pass(30s);
+    EXPECT_EQ(d.count<Move>(), 0);
+}
+
+// ---- start, determinism, settings that no deployment has ----
+
+TEST(Start, WaitsAMomentForTheFirstFigures) {
+    Driver d{usualSettings()};
+    d.list({host(1), host(2)});
+    const RequestId request = d.ask();
+    EXPECT_EQ(d.sends(request), 0);
+    d.give(Probed{HostId{1}, Outcome::Ok, 1ms, loadOf(0.2)});
+    EXPECT_EQ(d.sends(request), 1);
+}
+
+TEST(Start, PlacesWithoutFiguresWhenProbesStaySilent) {
+    Driver d{usualSettings()};
+    d.list({host(1), host(2)});
+    const RequestId request = d.ask();
+    d.pass(250ms);
+    EXPECT_EQ(d.sends(request), 1);
+}
+
+TEST(Start, ConnectionsThatStoodBeforeAreKnown) {
+    Driver d = fleet(usualSettings(), 2, 0.4);
+    for (std::uint64_t id = 5000; id < 5010; ++id) {
+        Arrived request;
+        request.request = RequestId{id};
+        d.give(AlreadyOpen{request, HostId{1}});
+    }
+    d.pass(10s);
+    EXPECT_EQ(d.count<Fail>() + d.count<Refuse>() + d.count<Send>(), 0);
+    d.load(1, 1.5);
+    d.pass(1500ms);
+    EXPECT_GE(d.count<Move>(), 3);
+}
+
+std::vector<std::uint64_t> history(std::uint64_t seed) {
+    Settings settings = usualSettings();
+    settings.seed = seed;
+    Driver d = fleet(settings, 5, 0.5);
+    std::vector<std::uint64_t> result;
+    for (int i = 0; i < 200; ++i) {
+        const RequestId request = d.ask();
+        result.push_back(d.target(request));
+        d.end(request, i % 7 == 0 ? Outcome::Error : Outcome::Ok, i % 7 != 0);
+        d.pass(30ms);
+    }
+    return result;
+}
+
+TEST(Determinism, TheSameEventsGiveTheSameActionsAndSeedsDiffer) {
+    EXPECT_EQ(history(3), history(3));
+    EXPECT_NE(history(3), history(4));
+}
+
+TEST(Settings, OneHostOneNodeServes) {
+    Settings settings = usualSettings();
+    settings.nodes = 1;
+    Driver d = fleet(settings, 1, 0.5);
+    const RequestId request = d.ask();
+    EXPECT_EQ(d.target(request), 1U);
+    d.end(request, Outcome::Reset);
+    EXPECT_EQ(d.sends(request), 2) << "the only host is tried again";
+}
+
+TEST(Settings, AnUnlistedClassIsTreatedAsUnsafe) {
+    Driver d = fleet(usualSettings(), 2, 0.5);
+    const RequestId request = d.ask(0, 3200ms, 17);
+    d.end(request, Outcome::Timeout);
+    EXPECT_EQ(d.sends(request), 1);
+    EXPECT_EQ(d.failures(request), 1);
+}
+
+TEST(Settings, ReportsWithinAnswersFeedTheDrawWhereNoProbesAreAllowed) {
+    Settings settings = usualSettings();
+    settings.limits.probes = false;
+    settings.reportMode = ReportMode::WithAnswers;
+    Driver d{settings};
+    d.list({host(1), host(2)});
+    const RequestId request = d.ask();
+    d.give(AttemptEnded{request, AttemptIndex{0}, HostId{d.target(request)}, Outcome::Ok, 5ms, true,
+                        loadOf(1.0)});
+    const std::uint64_t loaded = d.target(request);
+    for (int i = 0; i < 20; ++i) {
+        const RequestId next = d.ask();
+        // The other's missing figure counts as the mean, which is full too: both are held or drawn alike.
+        d.give(ClientLeft{next});
+    }
+    d.give(AttemptEnded{RequestId{999}, AttemptIndex{0}, HostId{3 - loaded}, Outcome::Ok, 5ms, true,
+                        loadOf(0.2)});
+    EXPECT_EQ(d.target(d.ask()), 3 - loaded);
+}
+
+TEST(Settings, InPassModeTheNodesAgreeOnTheHostOfAConnectionByItsKey) {
+    Settings settings = usualSettings();
+    settings.flowMode = FlowMode::Pass;
+    std::uint64_t target = 0;
+    for (std::uint64_t seed = 1; seed < 5; ++seed) {
+        settings.seed = seed;
+        Driver d = fleet(settings, 10, 0.4);
+        Arrived request;
+        request.request = RequestId{1};
+        request.key = KeyId{4242};
+        request.patience = 3s;
+        request.midFlow = true;
+        d.give(request);
+        if (target == 0) target = d.target(RequestId{1});
+        EXPECT_EQ(d.target(RequestId{1}), target);
+    }
+}
+
+}  // namespace
+}  // namespace ivyreel::test
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,289 @@
+// The four rules, by scenario.
+#include <gtest/gtest.h>
+
+#include "driver.hpp"
+
+namespace ivyreel::test {
+namespace {
+
+Settings withEffect(Effect effect, RepeatGroup group = RepeatGroup::All) {
+    Settings settings = usualSettings();
+    settings.classes[0].effect = effect;
+    settings.classes[0].group = group;
+    return settings;
+}
+
+Driver ready(Settings settings, std::vector<HostEntry> hosts) {
+    Driver d{std::move(settings)};
+    for (const HostEntry& entry : hosts) {
+        d.load(static_cast<std::uint64_t>(entry.id), 0.3);
+    }
+    d.list(std::move(hosts));
+    return d;
+}
+
+// ---- one final answer, in time ----
+
+TEST(FinalAnswer, ComesOnceBeforeTheClientLeavesWhenNoHostIsListed) {
+    Driver d{usualSettings()};
+    const RequestId request = d.ask();
+    d.pass(3200ms);
+    EXPECT_EQ(d.finals(request), 1);
+}
+
+TEST(FinalAnswer, ComesInTimeWhileAnAttemptHangs) {
+    Driver d = ready(withEffect(Effect::Unsafe), {host(1), host(2)});
+    const RequestId request = d.ask();
+    d.pass(3200ms);
+    EXPECT_EQ(d.sends(request), 1);
+    EXPECT_EQ(d.failures(request), 1) << "an attempt that may run is never refused";
+    EXPECT_EQ(d.refusals(request), 0);
+    d.end(request, Outcome::Timeout);
+    d.pass(5s);
+    EXPECT_EQ(d.sends(request), 1) << "nothing goes out after the final answer";
+    EXPECT_EQ(d.finals(request), 1);
+}
+
+TEST(FinalAnswer, IsNotOwedOnceTheClientLeft) {
+    Driver d = ready(usualSettings(), {host(1), host(2)});
+    const RequestId request = d.ask();
+    d.give(ClientLeft{request});
+    d.end(request, Outcome::Cancelled);
+    d.pass(5s);
+    EXPECT_EQ(d.sends(request), 1);
+    EXPECT_EQ(d.finals(request), 0);
+}
+
+TEST(FinalAnswer, IsNotGivenToAConnectionThatStands) {
+    Driver d = ready(usualSettings(), {host(1), host(2)});
+    const RequestId request = d.ask();
+    d.establish(request);
+    d.pass(30s);
+    EXPECT_EQ(d.finals(request), 0);
+    EXPECT_EQ(d.sends(request), 1);
+}
+
+TEST(FinalAnswer, ComesAtOnceWhenAllAttemptsAreSpent) {
+    Driver d = ready(usualSettings(), {host(1), host(2), host(3), host(4), host(5), host(6)});
+    const RequestId request = d.ask();
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(d.finals(request), 0);
+        d.end(request, Outcome::Error);
+    }
+    EXPECT_EQ(d.sends(request), 4);
+    EXPECT_EQ(d.finals(request), 1);
+}
+
+// ---- no effect twice ----
+
+TEST(Effects, ASafeRequestIsTriedOnAnotherHostAfterAnyFailure) {
+    for (const Outcome outcome :
+         {Outcome::Error, Outcome::Full, Outcome::Timeout, Outcome::ConnectFailed, Outcome::Reset}) {
+        Driver d = ready(usualSettings(), {host(1), host(2)});
+        const RequestId request = d.ask();
+        const std::uint64_t first = d.target(request);
+        d.end(request, outcome);
+        EXPECT_EQ(d.sends(request), 2);
+        EXPECT_NE(d.target(request), first);
+    }
+}
+
+TEST(Effects, AnUnsafeRequestIsTriedAgainOnlyIfItNeverRan) {
+    for (const Outcome outcome : {Outcome::Full, Outcome::ConnectFailed}) {
+        Driver d = ready(withEffect(Effect::Unsafe), {host(1), host(2)});
+        const RequestId request = d.ask();
+        d.end(request, outcome);
+        EXPECT_EQ(d.sends(request), 2);
+    }
+    for (const Outcome outcome : {Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled}) {
+        Driver d = ready(withEffect(Effect::Unsafe), {host(1), host(2)});
+        const RequestId request = d.ask();
+        d.end(request, outcome);
+        EXPECT_EQ(d.sends(request), 1);
+        EXPECT_EQ(d.refusals(request), 0);
+        EXPECT_EQ(d.failures(request), 1);
+    }
+}
+
+TEST(Effects, AKeyedRequestThatMayHaveRunStaysWithTheHostsThatDropItsRepeat) {
+    const std::vector<HostEntry> hosts = {host(1, 0, 1), host(2, 0, 2), host(3, 1, 1), host(4, 1, 2)};
+    for (int i = 0; i < 40; ++i) {
+        Driver byZone = ready(withEffect(Effect::Keyed, RepeatGroup::Zone), hosts);
+        for (int skip = 0; skip < i; ++skip) {
+            byZone.ask();  // varies the draw
+        }
+        const RequestId request = byZone.ask();
+        const std::uint64_t first = byZone.target(request);
+        byZone.end(request, Outcome::Timeout);
+        EXPECT_EQ((byZone.target(request) + 1) / 2, (first + 1) / 2);
+        byZone.end(request, Outcome::Timeout);
+        EXPECT_EQ((byZone.target(request) + 1) / 2, (first + 1) / 2)
+            << "both of the zone were tried: still the zone";
+
+        Driver byCell = ready(withEffect(Effect::Keyed, RepeatGroup::Cell), hosts);
+        for (int skip = 0; skip < i; ++skip) {
+            byCell.ask();
+        }
+        const RequestId other = byCell.ask();
+        const std::uint64_t start = byCell.target(other);
+        byCell.end(other, Outcome::Reset);
+        EXPECT_EQ(byCell.target(other) % 2, start % 2);
+    }
+}
+
+TEST(Effects, AKeyedRequestThatNeverRanMayGoAnywhere) {
+    Driver d = ready(withEffect(Effect::Keyed, RepeatGroup::Cell), {host(1, 0, 1), host(2, 0, 2)});
+    const RequestId request = d.ask();
+    const std::uint64_t first = d.target(request);
+    d.end(request, Outcome::ConnectFailed);
+    EXPECT_EQ(d.target(request), 3 - first);
+}
+
+TEST(Effects, AKeyedRequestIsNotSentAgainOnceItsWindowHasPassed) {
+    Settings settings = withEffect(Effect::Keyed, RepeatGroup::All);
+    settings.classes[0].repeatWindow = 1s;
+    Driver d = ready(settings, {host(1), host(2)});
+    const RequestId request = d.ask();
+    d.pass(1100ms);
+    d.end(request, Outcome::Timeout);
+    EXPECT_EQ(d.sends(request), 1);
+    EXPECT_EQ(d.finals(request), 1);
+}
+
+TEST(Effects, AKeyedRequestThatMayHaveRunIsRefusedOnlyWhereAllHostsDropRepeats) {
+    for (const RepeatGroup group : {RepeatGroup::All, RepeatGroup::Zone, RepeatGroup::Cell}) {
+        Settings settings = withEffect(Effect::Keyed, group);
+        settings.limits.attempts = 1;
+        Driver d = ready(settings, {host(1), host(2)});
+        const RequestId request = d.ask();
+        d.end(request, Outcome::Error);
+        EXPECT_EQ(d.refusals(request), group == RepeatGroup::All ? 1 : 0);
+        EXPECT_EQ(d.finals(request), 1);
+    }
+}
+
+TEST(Effects, NeverTwoAttemptsAtOnceWhetherOrNotSecondCopiesAreAllowed) {
+    for (const bool copies : {false, true}) {
+        Settings settings = usualSettings();
+        settings.limits.secondCopies = copies;
+        Driver d = ready(settings, {host(1), host(2), host(3)});
+        const RequestId request = d.ask();
+        d.pass(2s);
+        EXPECT_EQ(d.sends(request), 1);
+    }
+}
+
+// ---- drains ----
+
+TEST(Drains, NothingNewGoesToADrainingOrGoneHostFromThatMomentOn) {
+    for (const Availability state : {Availability::Draining, Availability::Gone}) {
+        Driver d = ready(usualSettings(), {host(1), host(2)});
+        HostEntry leaving = host(1);
+        leaving.availability = state;
+        d.list({leaving}, ListKind::Delta);
+        const int before = d.sendsTo(1);
+        for (int i = 0; i < 200; ++i) {
+            d.end(d.ask(), Outcome::Ok, true);
+        }
+        EXPECT_EQ(d.sendsTo(1), before);
+    }
+}
+
+TEST(Drains, AHostMissingFromAFullListIsGone) {
+    Driver d = ready(usualSettings(), {host(1), host(2)});
+    d.list({host(2)});
+    for (int i = 0; i < 100; ++i) {
+        d.end(d.ask(), Outcome::Ok, true);
+    }
+    EXPECT_EQ(d.sendsTo(1), 0);
+}
+
+TEST(Drains, AHostThatComesBackIsUsedAgain) {
+    Driver d = ready(usualSettings(), {host(1), host(2)});
+    d.list({host(2)});
+    d.list({host(1)}, ListKind::Delta);
+    d.pass(2s);
+    for (int i = 0; i < 100; ++i) {
+        d.end(d.ask(), Outcome::Ok, true);
+    }
+    EXPECT_GT(d.sendsTo(1), 20);
+}
+
+TEST(Drains, ADrainingHostsConnectionsAreMovedWhileOthersHaveRoom) {
+    Driver d = ready(usualSettings(), {host(1), host(2)});
+    for (int i = 0; i < 40; ++i) {
+        d.establish(d.ask());
+    }
+    const int there = d.sendsTo(1);
+    ASSERT_GT(there, 5);
+    HostEntry leaving = host(1);
+    leaving.availability = Availability::Draining;
+    d.list({leaving}, ListKind::Delta);
+    d.pass(5s);
+    EXPECT_EQ(d.count<Move>(), there);
+}
+
+// ---- cold hosts ----
+
+TEST(ColdHosts, AllNodesTogetherStayUnderTheBudgetOfEveryWindow) {
+    // A host of about 100 connections starts at 0.3 and is warm after 9 s: filling it over its warm-up takes
+    // 11 connections a second, and it stands four times its present part of that for 1.5 s.
+    constexpr double kFills = 100.0 / 9.0;
+    std::vector<Time> sent;
+    for (std::uint32_t node = 0; node < 3; ++node) {
+        Settings settings = usualSettings();
+        settings.nodeIndex = node;
+        settings.seed = 100 + node;
+        Driver d{settings};
+        std::vector<HostEntry> hosts;
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            d.load(id, 0.5);
+            hosts.push_back(host(id));
+        }
+        d.list(hosts);
+        for (int i = 0; i < 50; ++i) {
+            d.establish(d.ask());  // 50 a node on 3 hosts at 0.5: 100 fill one
+        }
+        d.pass(2s);
+        HostEntry cold = host(9);
+        cold.launched = d.now();
+        d.load(9, 0.0);
+        const Time start = d.now();
+        d.list({cold}, ListKind::Delta);
+        for (int step = 0; step < 450; ++step) {
+            d.pass(20ms);
+            for (int burst = 0; burst < 5; ++burst) {
+                const RequestId request = d.ask();
+                if (d.target(request) == 9) sent.push_back(d.now() - start);
+                d.end(request, Outcome::Ok, true);
+            }
+        }
+    }
+    ASSERT_GT(sent.size(), 20U) << "a cold host is brought in, not shunned";
+    for (Time from = 0s; from < 9s; from += 100ms) {
+        const auto inWindow = std::count_if(sent.begin(), sent.end(),
+                                            [from](Time at) { return at >= from && at < from + 1500ms; });
+        const double warm = 0.3 + 0.7 * std::chrono::duration<double>(from).count() / 9.0;
+        EXPECT_LE(static_cast<double>(inWindow), 4.0 * warm * kFills * 1.5) << "from " << from.count();
+    }
+}
+
+TEST(ColdHosts, RetriesCountInTheBudget) {
+    Settings settings = usualSettings();
+    settings.rules.fallMultiple = 1.0;
+    Driver d{settings};
+    HostEntry cold = host(1);
+    cold.launched = d.now();
+    d.load(1, 0.0);
+    d.list({cold});
+    d.pass(2s);
+    const int before = d.sendsTo(1);
+    for (int i = 0; i < 20; ++i) {
+        const RequestId request = d.ask();
+        if (d.sends(request) > 0) d.end(request, Outcome::Error);
+    }
+    EXPECT_LE(d.sendsTo(1) - before, 1);
+}
+
+}  // namespace
+}  // namespace ivyreel::test
