--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,7 +42,6 @@
 constexpr double kRelievedTo = 0.8;         // load over capacity that moves aim for, with room for swings
 constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
 constexpr double kEvacuateShare = 0.05;     // of a host's connections a tick: a fifth of a second for most
-constexpr double kAdmitBelow = 92;          // per cent: a fuller host misses message aims if it takes more
 constexpr double kShedTo = 0.9;             // load over capacity left on a host where no other has room
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
 constexpr double kBusyFleet = 75;        // mean per cent from which over-share tenants are refused
@@ -502,7 +501,7 @@
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
             // Departure, admission control: no host takes more than it can serve. Prevents that an overloaded
             // fleet places everything and serves nobody within the message aim.
-            if (utilisation(host) >= kAdmitBelow && mayRefuse(r)) continue;
+            if (utilisation(host) >= kFull && mayRefuse(r)) continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
