Admit under 85 per cent, members of held groups until 97

Cause: refusing the members of a group where the others of it are breaks the group up, and every further host pays for it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -32,7 +32,7 @@
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
 constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
-constexpr double kHolderLimit = 90;         // per cent: a fuller host is not handed more of its groups
+constexpr double kHolderLimit = 97;         // per cent: members of a group cost less where others of it are
 constexpr double kColdSafety = 0.5;         // part of the cold budget used: peers and clocks are uneven
 constexpr double kUsualLoad = 40'000;       // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;          // weight of one load note in the mean of a class
@@ -42,6 +42,7 @@
 constexpr double kRelievedTo = 0.8;         // load over capacity that moves aim for, with room for swings
 constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
 constexpr double kEvacuateShare = 0.05;     // of a host's connections a tick: a fifth of a second for most
+constexpr double kAdmitBelow = 85;          // per cent: a fuller host misses message aims if it takes more
 constexpr double kShedTo = 0.9;             // load over capacity left on a host where no other has room
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
 constexpr double kBusyFleet = 75;        // mean per cent from which over-share tenants are refused
@@ -501,7 +502,7 @@
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
             // Departure, admission control: no host takes more than it can serve. Prevents that an overloaded
             // fleet places everything and serves nobody within the message aim.
-            if (utilisation(host) >= kFull && mayRefuse(r)) continue;
+            if (utilisation(host) >= (holds(host, r) ? kHolderLimit : kAdmitBelow) && mayRefuse(r)) continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
@@ -512,6 +513,10 @@
         return result;
     }
 
+    bool holds(const Host& host, const Request& r) const {
+        return grouped(r) && members_.contains({r.asked.group, host.entry.id});
+    }
+
     // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
     // number is made from the group and the host (weighted rendezvous hashing). Over groups the shares stay
     // in proportion to the weights, while the members meet on one host at all nodes. Members go where the
