--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -313,7 +313,7 @@
         const double stated = fresh(host) ? host.utilisation : meanUtilisation_;
         // Departure, accounting between reports: what was sent since the figure was taken is added to it,
         // times the number of nodes, who see the same figure. Prevents herding onto a host that reported low.
-        return std::min(kFull, stated + kFull * sentSince(host) * loadShare_ * s_.nodes);
+        return std::min(kFull, stated + kFull * sentSince(host) * loadShare_ * s_.nodes / warmth(host));
     }
 
     // ---- health ----
