--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -21,6 +21,7 @@
 constexpr double kUnknownUtilisation = 50;  // per cent: the draft's figure where nothing is known (9.1.2)
 constexpr Micros kFreshFor = 5s;            // the draft's age at which a figure no longer counts (9.1.2)
 constexpr Micros kProbeEvery = 1s;          // the draft lets a figure change once a second (9.2.1)
+constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
 constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
 constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
 constexpr Micros kFirstFigures = 150ms;     // the longest a starting node waits for its first probes
@@ -238,6 +239,12 @@
         }
     }
 
+    // Departure: a host in doubt is probed at the draft's own pace, until it answers or is surely lost. Prevents that
+    // connections wait for seconds on a cut link or a dead host.
+    void confirm(Host& host) {
+        if (host.probeFailures <= kProbeFailures) host.probeDue = std::min(host.probeDue, now_ + kConfirmEvery);
+    }
+
     void on(const Probed& e) {
         Host* host = find(e.host);
         if (host == nullptr) return;
@@ -247,6 +254,7 @@
             host->trust += (1.0 - host->trust) * kTrustHealing;
         } else if (e.outcome != Outcome::Full) {
             ++host->probeFailures;
+            confirm(*host);
         }
         if (e.report) take(*host, *e.report);
         retryHeld();
@@ -331,6 +339,7 @@
     }
 
     void wentWrong(Host& host) {
+        confirm(host);
         ++host.attemptFailures;
         host.trust = std::max(kTrustLeast, host.trust * (1.0 - kTrustStep));
         if (host.attemptFailures < kAttemptFailures || ejected(host)) return;
