--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -239,10 +239,11 @@
         }
     }
 
-    // Departure: a host in doubt is probed at the draft's own pace, until it answers or is surely lost. Prevents that
-    // connections wait for seconds on a cut link or a dead host.
+    // Departure: a host in doubt is probed at the draft's own pace, until it answers or is surely lost.
+    // Prevents that connections wait for seconds on a cut link or a dead host.
     void confirm(Host& host) {
-        if (host.probeFailures <= kProbeFailures) host.probeDue = std::min(host.probeDue, now_ + kConfirmEvery);
+        if (host.probeFailures <= kProbeFailures)
+            host.probeDue = std::min(host.probeDue, now_ + kConfirmEvery);
     }
 
     void on(const Probed& e) {
