--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -34,6 +34,9 @@
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
 constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
 constexpr double kHolderLimit = 97;         // per cent: members of a group cost less where others of it are
+constexpr double kCrossing = 0.3;           // on the weight of other zones' hosts while the own has room
+constexpr double kZoneEasy = 50;            // per cent: up to here the own zone is preferred in full
+constexpr double kZoneBusy = 80;            // per cent: from here on not at all
 constexpr double kColdSafety = 0.5;         // part of the cold budget used: peers and clocks are uneven
 constexpr double kUsualLoad = 40'000;       // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;          // weight of one load note in the mean of a class
@@ -310,6 +313,22 @@
         loadShare_ = 1.0 / std::clamp(capacity, kLeastCapacity, kMostCapacity);
     }
 
+    // Departure, own zone first: while the own zone has room, hosts of other zones draw less; with the own
+    // zone's room the preference goes. Prevents that a cut between zones takes most connections along, and
+    // needless delay.
+    double crossingFactor() const {
+        double sum = 0.0;
+        int count = 0;
+        for (const auto& [id, host] : hosts_) {
+            if (!ready(host) || unhealthy(host) || host.entry.zone != s_.zone) continue;
+            sum += utilisation(host);
+            ++count;
+        }
+        if (count == 0) return 1.0;
+        const double used = std::clamp((sum / count - kZoneEasy) / (kZoneBusy - kZoneEasy), 0.0, 1.0);
+        return kCrossing + (1.0 - kCrossing) * used;
+    }
+
     double sentSince(const Host& host) const {
         double since = 0.0;
         for (const Placement& p : host.recent) {
@@ -479,6 +498,7 @@
 
     Host* choose(const Request& r) {
         measureFleet();
+        crossing_ = crossingFactor();
         std::vector<Candidate> candidates = candidatesFor(r, true);
         if (candidates.empty()) candidates = candidatesFor(r, false);
         if (candidates.empty()) return nullptr;
@@ -518,7 +538,9 @@
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
-            result.push_back({&host, (kFull - utilisation(host)) * host.trust * warmth(host)});
+            const bool crossing = !grouped(r) && host.entry.zone != s_.zone;
+            result.push_back({&host, (kFull - utilisation(host)) * host.trust * warmth(host) *
+                                         (crossing ? crossing_ : 1.0)});
         }
         return result;
     }
@@ -806,6 +828,7 @@
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
     double loadShare_ = 1.0 / kLeastCapacity;  // of a host's capacity, for one unit of load
+    double crossing_ = 1.0;                    // on the weight of hosts in other zones
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
     Time watchDue_{Time::max()};
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -122,6 +122,18 @@
     EXPECT_GT(d.sendsTo(1), before);
 }
 
+TEST(Probes, AHostInDoubtIsProbedAtAQuickerPace) {
+    Driver d = fleet(usualSettings(), 2, 0.3);
+    d.pass(2500ms);
+    const RequestId request = d.ask();
+    const std::uint64_t failing = d.target(request);
+    const int before = d.probesOf(failing);
+    d.failProbes(failing);
+    d.end(request, Outcome::ConnectFailed);
+    d.pass(650ms);
+    EXPECT_GE(d.probesOf(failing) - before, 2) << "two failures, and so the verdict, well within a second";
+}
+
 TEST(Probes, ConnectionsOfAHostThatAnswersNoneAreBroughtElsewhere) {
     Driver d = fleet(usualSettings(), 2, 0.3);
     for (int i = 0; i < 40; ++i) {
@@ -254,6 +266,30 @@
     EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 1)), 0);
 }
 
+// ---- zones ----
+
+double ownShare(double ownLoad) {
+    Settings settings = usualSettings();
+    settings.nodes = 1;
+    Driver d{settings};
+    d.load(1, ownLoad);
+    d.load(2, ownLoad);
+    d.list({host(1, 0), host(2, 1)});
+    int own = 0;
+    for (int i = 0; i < 4000; ++i) {
+        const RequestId request = d.ask();
+        own += d.target(request) == 1 ? 1 : 0;
+        d.end(request, Outcome::Ok, true);
+    }
+    return own / 4000.0;
+}
+
+TEST(Zones, TheOwnZoneComesFirstWhileItHasRoomAndSpillsWhenItHasNot) {
+    EXPECT_GT(ownShare(0.3), 0.7);
+    EXPECT_LT(ownShare(0.3), 0.85) << "other zones keep a part";
+    EXPECT_NEAR(ownShare(0.82), 0.5, 0.04);
+}
+
 // ---- moves ----
 
 TEST(Moves, AnOverdrivenHostIsRelievedInSteps) {
