--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,6 +49,7 @@
 constexpr double kAdmitBelow = 85;          // per cent: a fuller host misses message aims if it takes more
 constexpr double kShedTo = 0.9;             // load over capacity left on a host where no other has room
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
+constexpr double kYieldFleet = 75;          // mean per cent from which over-share tenants are refused
 constexpr double kBusyFleet = 75;        // mean per cent from which over-share tenants are refused
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
@@ -487,7 +488,7 @@
     bool refuseAtOnce(const Request& r) const {
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
         if (tenant >= tenantOpen_.size() || s_.tenants[tenant].quotaConnections <= 0) return false;
-        return s_.overShareWorth < 1.0 && meanUtilisation_ >= kBusyFleet && mayRefuse(r) &&
+        return s_.overShareWorth < 1.0 && meanUtilisation_ >= kYieldFleet && mayRefuse(r) &&
                tenantOpen_[tenant] * static_cast<double>(s_.nodes) > s_.tenants[tenant].quotaConnections;
     }
 
@@ -530,9 +531,10 @@
         std::vector<Candidate> result;
         for (auto& [id, host] : hosts_) {
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
-            // Departure, admission control: no host takes more than it can serve. Prevents that an overloaded
-            // fleet places everything and serves nobody within the message aim.
-            if (utilisation(host) >= (holds(host, r) ? kHolderLimit : kAdmitBelow) && mayRefuse(r)) continue;
+            // Departure, admission control: on a busy fleet a host takes no more than it can serve. Prevents that an
+            // overloaded fleet places everything and serves nobody within the message aim.
+            const double limit = holds(host, r) ? kHolderLimit : kAdmitBelow;
+            if (meanUtilisation_ >= kBusyFleet && utilisation(host) >= limit && mayRefuse(r)) continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
