--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,8 +49,8 @@
 constexpr double kAdmitBelow = 85;          // per cent: a fuller host misses message aims if it takes more
 constexpr double kShedTo = 0.9;             // load over capacity left on a host where no other has room
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
-constexpr double kYieldFleet = 75;          // mean per cent from which over-share tenants are refused
-constexpr double kBusyFleet = 75;        // mean per cent from which over-share tenants are refused
+constexpr double kYieldFleet = 75;       // mean per cent from which over-share tenants are refused
+constexpr double kBusyFleet = 60;        // mean per cent from which a full draw would tip hosts over
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
 // ---- small helpers ----
@@ -503,6 +503,7 @@
         std::vector<Candidate> candidates = candidatesFor(r, true);
         if (candidates.empty()) candidates = candidatesFor(r, false);
         if (candidates.empty()) return nullptr;
+        if (mayRefuse(r) && !admit(candidates, r)) return nullptr;
         double total = 0.0;
         for (const Candidate& c : candidates) {
             total += c.weight;
@@ -527,14 +528,22 @@
             ->host;
     }
 
+    // Departure, admission control: where no host has room nothing is drawn, and on a busy fleet only those
+    // that have room. Prevents that an overloaded fleet places everything and serves nobody within the
+    // message aim.
+    bool admit(std::vector<Candidate>& candidates, const Request& r) const {
+        const auto full = [&](const Candidate& c) {
+            return utilisation(*c.host) >= (holds(*c.host, r) ? kHolderLimit : kAdmitBelow);
+        };
+        if (std::all_of(candidates.begin(), candidates.end(), full)) return false;
+        if (meanUtilisation_ >= kBusyFleet) std::erase_if(candidates, full);
+        return true;
+    }
+
     std::vector<Candidate> candidatesFor(const Request& r, bool strict) {
         std::vector<Candidate> result;
         for (auto& [id, host] : hosts_) {
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
-            // Departure, admission control: on a busy fleet a host takes no more than it can serve. Prevents that an
-            // overloaded fleet places everything and serves nobody within the message aim.
-            const double limit = holds(host, r) ? kHolderLimit : kAdmitBelow;
-            if (meanUtilisation_ >= kBusyFleet && utilisation(host) >= limit && mayRefuse(r)) continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
