--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,6 +33,7 @@
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
 constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
+constexpr double kGroupFloor = 25;          // weight: below it groups would change hosts with every figure
 constexpr double kHolderLimit = 97;         // per cent: members of a group cost less where others of it are
 constexpr double kCrossing = 0.3;           // on the weight of other zones' hosts while the own has room
 constexpr double kZoneEasy = 50;            // per cent: up to here the own zone is preferred in full
@@ -575,16 +576,17 @@
             best = c.host;
             most = members->second;
         }
-        return best != nullptr ? best : rendezvous(candidates, key);
+        return best != nullptr ? best : rendezvous(candidates, key, kGroupFloor);
     }
 
-    static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key) {
+    static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key, double floor = 0.0) {
         Host* best = nullptr;
         double least = 0.0;
         for (const Candidate& c : candidates) {
-            if (c.weight <= 0.0) continue;
+            const double weight = std::max(c.weight, floor);
+            if (weight <= 0.0) continue;
             const auto id = static_cast<std::uint64_t>(c.host->entry.id);
-            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / c.weight;
+            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / weight;
             if (best != nullptr && score >= least) continue;
             best = c.host;
             least = score;
