--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -576,17 +576,16 @@
             best = c.host;
             most = members->second;
         }
-        return best != nullptr ? best : rendezvous(candidates, key, kGroupFloor);
+        return best != nullptr ? best : rendezvous(candidates, key);
     }
 
-    static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key, double floor = 0.0) {
+    static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key) {
         Host* best = nullptr;
         double least = 0.0;
         for (const Candidate& c : candidates) {
-            const double weight = std::max(c.weight, floor);
-            if (weight <= 0.0) continue;
+            if (c.weight <= 0.0) continue;
             const auto id = static_cast<std::uint64_t>(c.host->entry.id);
-            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / weight;
+            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / c.weight;
             if (best != nullptr && score >= least) continue;
             best = c.host;
             least = score;
