--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -550,9 +550,9 @@
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
+            const double free = std::max(kFull - utilisation(host), grouped(r) ? kGroupFloor : 0.0);
             const bool crossing = !grouped(r) && host.entry.zone != s_.zone;
-            result.push_back({&host, (kFull - utilisation(host)) * host.trust * warmth(host) *
-                                         (crossing ? crossing_ : 1.0)});
+            result.push_back({&host, free * host.trust * warmth(host) * (crossing ? crossing_ : 1.0)});
         }
         return result;
     }
