--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,7 +33,6 @@
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
 constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
-constexpr double kGroupFloor = 25;          // weight: below it groups would change hosts with every figure
 constexpr double kHolderLimit = 97;         // per cent: members of a group cost less where others of it are
 constexpr double kCrossing = 0.3;           // on the weight of other zones' hosts while the own has room
 constexpr double kZoneEasy = 50;            // per cent: up to here the own zone is preferred in full
@@ -550,9 +549,9 @@
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
-            const double free = std::max(kFull - utilisation(host), grouped(r) ? kGroupFloor : 0.0);
             const bool crossing = !grouped(r) && host.entry.zone != s_.zone;
-            result.push_back({&host, free * host.trust * warmth(host) * (crossing ? crossing_ : 1.0)});
+            result.push_back({&host, (kFull - utilisation(host)) * host.trust * warmth(host) *
+                                         (crossing ? crossing_ : 1.0)});
         }
         return result;
     }
@@ -778,15 +777,25 @@
         host.moveNext = now_ + kMoveSettle;
     }
 
+    // Moves about this much load, groups whole: members left behind would draw the others back.
     void moveOff(const Host& host, double load) {
         std::vector<std::pair<GroupId, RequestId>> there;
+        std::map<GroupId, double> groupLoad;
         for (const auto& [id, r] : requests_) {
-            if (r.open && r.host == host.entry.id) there.emplace_back(r.asked.group, id);
+            if (!r.open || r.host != host.entry.id) continue;
+            const GroupId group = grouped(r) ? r.asked.group : GroupId{0};
+            there.emplace_back(group, id);
+            if (grouped(r)) groupLoad[group] += r.load;
         }
         std::sort(there.begin(), there.end());
+        GroupId moving{0};
         for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
-            if (load < r.load / 2) return;
+            if (!grouped(r) || group != moving) {
+                const double unit = grouped(r) ? groupLoad[group] : r.load;
+                if (load < unit / 2) continue;
+                moving = group;
+            }
             load -= r.load;
             move(id, r);
         }
