--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -793,12 +793,21 @@
             Request& r = requests_.at(id);
             if (!grouped(r) || group != moving) {
                 const double unit = grouped(r) ? groupLoad[group] : r.load;
-                if (load < unit / 2) continue;
+                if (load < unit / 2) {
+                    if (!grouped(r)) return;
+                    continue;
+                }
                 moving = group;
             }
             load -= r.load;
             move(id, r);
         }
+        for (const auto& [group, id] : there) {  // no group fits into the rest: some are split after all
+            const auto at = requests_.find(id);
+            if (at == requests_.end() || load < at->second.load / 2) continue;
+            load -= at->second.load;
+            move(id, at->second);
+        }
     }
 
     void move(RequestId id, const Request& r) {
