--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -777,37 +777,18 @@
         host.moveNext = now_ + kMoveSettle;
     }
 
-    // Moves about this much load, groups whole: members left behind would draw the others back.
     void moveOff(const Host& host, double load) {
         std::vector<std::pair<GroupId, RequestId>> there;
-        std::map<GroupId, double> groupLoad;
         for (const auto& [id, r] : requests_) {
-            if (!r.open || r.host != host.entry.id) continue;
-            const GroupId group = grouped(r) ? r.asked.group : GroupId{0};
-            there.emplace_back(group, id);
-            if (grouped(r)) groupLoad[group] += r.load;
+            if (r.open && r.host == host.entry.id) there.emplace_back(r.asked.group, id);
         }
         std::sort(there.begin(), there.end());
-        GroupId moving{0};
         for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
-            if (!grouped(r) || group != moving) {
-                const double unit = grouped(r) ? groupLoad[group] : r.load;
-                if (load < unit / 2) {
-                    if (!grouped(r)) return;
-                    continue;
-                }
-                moving = group;
-            }
+            if (load < r.load / 2) return;
             load -= r.load;
             move(id, r);
         }
-        for (const auto& [group, id] : there) {  // no group fits into the rest: some are split after all
-            const auto at = requests_.find(id);
-            if (at == requests_.end() || load < at->second.load / 2) continue;
-            load -= at->second.load;
-            move(id, at->second);
-        }
     }
 
     void move(RequestId id, const Request& r) {
