--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -578,16 +578,13 @@
         return best != nullptr ? best : rendezvous(candidates, key);
     }
 
-    static double distance(std::uint64_t key, HostId host) {  // the same at every node, whatever the weights
-        return -std::log(unitInterval(mix(mix(key) ^ mix(static_cast<std::uint64_t>(host) + 1))));
-    }
-
     static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key) {
         Host* best = nullptr;
         double least = 0.0;
         for (const Candidate& c : candidates) {
             if (c.weight <= 0.0) continue;
-            const double score = distance(key, c.host->entry.id) / c.weight;
+            const auto id = static_cast<std::uint64_t>(c.host->entry.id);
+            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / c.weight;
             if (best != nullptr && score >= least) continue;
             best = c.host;
             least = score;
@@ -780,17 +777,13 @@
         host.moveNext = now_ + kMoveSettle;
     }
 
-    // Groups that the draw is least likely to bring back here go first, and at all nodes the same ones: what
-    // is moved meets on the hosts where the draw by group places it, and what stays is at home.
     void moveOff(const Host& host, double load) {
-        std::vector<std::pair<double, RequestId>> there;
+        std::vector<std::pair<GroupId, RequestId>> there;
         for (const auto& [id, r] : requests_) {
-            if (!r.open || r.host != host.entry.id) continue;
-            const auto group = static_cast<std::uint64_t>(r.asked.group);
-            there.emplace_back(grouped(r) ? -distance(group, host.entry.id) : 0.0, id);
+            if (r.open && r.host == host.entry.id) there.emplace_back(r.asked.group, id);
         }
         std::sort(there.begin(), there.end());
-        for (const auto& [order, id] : there) {
+        for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
             if (load < r.load / 2) return;
             load -= r.load;
