Learn from late messages at which load hosts miss their aims

The knee starts at 0.75 and is learned from message delays near it; admission, relief and shedding go by it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,21 +33,25 @@
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
 constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
-constexpr double kHolderLimit = 85;         // per cent: members of a group cost less where others of it are
-constexpr double kCrossing = 0.3;           // on the weight of other zones' hosts while the own has room
-constexpr double kZoneEasy = 50;            // per cent: up to here the own zone is preferred in full
-constexpr double kZoneBusy = 80;            // per cent: from here on not at all
-constexpr double kColdSafety = 0.5;         // part of the cold budget used: peers and clocks are uneven
-constexpr double kUsualLoad = 40'000;       // us of work a second: 25 connections a core, until one is seen
-constexpr double kLoadStep = 0.05;          // weight of one load note in the mean of a class
-constexpr double kLeastCapacity = 2e6;      // us of work a second: two cores, the smallest host to expect
-constexpr double kMostCapacity = 64e6;      // us of work a second: a node that just started sees little
-constexpr double kOverdriven = 0.8;         // load over capacity: beyond, messages pile up
-constexpr double kRelievedTo = 0.7;         // load over capacity that moves aim for, with room for swings
-constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
-constexpr double kEvacuateShare = 0.05;     // of a host's connections a tick: a fifth of a second for most
-constexpr double kAdmitBelow = 75;          // per cent: a fuller host misses message aims if it takes more
-constexpr double kShedTo = 0.75;            // load over capacity left on a host where no other has room
+constexpr double kKneeFirst = 0.75;         // load over capacity at which messages come late, until learned
+constexpr double kKneeLeast = 0.6;          // load over capacity: lower would waste a third of the fleet
+constexpr double kKneeMost = 0.9;           // load over capacity: figures are late by a swing or more
+constexpr double kKneeNear = 0.1;    // load over capacity: figures further off tell nothing of the knee
+constexpr double kKneeDown = 0.01;   // load over capacity, for a late figure near the knee
+constexpr double kKneeUp = 0.001;    // load over capacity, for a punctual one: rests at one late in eleven
+constexpr double kLateShare = 0.5;   // of the message aim: half of it in the mean leaves many beyond it
+constexpr double kHolderMore = 0.1;  // load over capacity: members cost less where others of a group are
+constexpr double kRelieveBeyond = 0.05;  // load over capacity: moves start this far above the knee
+constexpr double kCrossing = 0.3;        // on the weight of other zones' hosts while the own has room
+constexpr double kZoneEasy = 50;         // per cent: up to here the own zone is preferred in full
+constexpr double kZoneBusy = 80;         // per cent: from here on not at all
+constexpr double kColdSafety = 0.5;      // part of the cold budget used: peers and clocks are uneven
+constexpr double kUsualLoad = 40'000;    // us of work a second: 25 connections a core, until one is seen
+constexpr double kLoadStep = 0.05;       // weight of one load note in the mean of a class
+constexpr double kLeastCapacity = 2e6;   // us of work a second: two cores, the smallest host to expect
+constexpr double kMostCapacity = 64e6;   // us of work a second: a node that just started sees little
+constexpr Micros kMoveSettle = 2s;       // a move shows in reports after the gap, a report and its lag
+constexpr double kEvacuateShare = 0.05;  // of a host's connections a tick: a fifth of a second for most
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
 constexpr double kYieldFleet = 75;       // mean per cent from which over-share tenants are refused
 constexpr double kBusyFleet = 60;        // mean per cent from which a full draw would tip hosts over
@@ -120,6 +124,7 @@
     int ownOpen = 0;
     Time coldNext{0};  // the earliest next send while the host is cold
     Time moveNext{0};
+    Time lateAt{Time::min() / 2};  // when a message was last late there
 };
 
 struct Request {
@@ -285,6 +290,7 @@
         host.reportedAt = now_;
         std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kReportLag; });
         measureFleet();
+        learnKnee(host);
         relieve(host);
     }
 
@@ -533,7 +539,7 @@
     // message aim.
     bool admit(std::vector<Candidate>& candidates, const Request& r) const {
         const auto full = [&](const Candidate& c) {
-            return utilisation(*c.host) >= (holds(*c.host, r) ? kHolderLimit : kAdmitBelow);
+            return utilisation(*c.host) >= kFull * (holds(*c.host, r) ? knee_ + kHolderMore : knee_);
         };
         if (std::all_of(candidates.begin(), candidates.end(), full)) return false;
         if (meanUtilisation_ >= kBusyFleet) std::erase_if(candidates, full);
@@ -571,7 +577,7 @@
         for (const Candidate& c : candidates) {
             const auto members = members_.find({r.asked.group, c.host->entry.id});
             if (members == members_.end() || members->second <= most) continue;
-            if (utilisation(*c.host) >= kHolderLimit) continue;
+            if (utilisation(*c.host) >= kFull * (knee_ + kHolderMore)) continue;
             best = c.host;
             most = members->second;
         }
@@ -736,7 +742,23 @@
             classLoad_[cls] > 0 ? classLoad_[cls] + (e.load - classLoad_[cls]) * kLoadStep : e.load;
     }
 
-    void on(const DelayNote&) {}
+    void on(const DelayNote& e) {
+        const auto at = requests_.find(e.request);
+        if (at == requests_.end()) return;
+        Host* host = find(e.host);
+        const Micros aim = classOf(at->second).messageAim;
+        if (host == nullptr || aim <= Micros{0}) return;
+        if (e.messageMs * 1e3 > kLateShare * static_cast<double>(aim.count())) host->lateAt = now_;
+    }
+
+    // Departure, the knee: the load over capacity at which messages begin to come late differs between fleets
+    // (bursts, aims). Each figure near it is a trial: late messages lower the knee, punctual ones raise it a
+    // little. Prevents that hosts are filled until they serve nobody in time, or left idle for fear of it.
+    void learnKnee(const Host& host) {
+        if (host.ownOpen == 0 || std::abs(host.load - knee_) > kKneeNear) return;
+        const bool late = now_ - host.lateAt < kProbeEvery + kReportLag;
+        knee_ = std::clamp(knee_ + (late ? -kKneeDown : kKneeUp), kKneeLeast, kKneeMost);
+    }
 
     std::vector<RequestId> waiting(bool withAttempt) const {
         std::vector<RequestId> result;
@@ -764,15 +786,15 @@
     // Departure: a host that reports more load than it can carry serves nobody well. This node moves its part
     // of the excess, whole groups first met, as far as the others have room.
     void relieve(Host& host) {
-        if (host.load <= kOverdriven || now_ < host.moveNext || host.ownOpen == 0) return;
+        if (host.load <= knee_ + kRelieveBeyond || now_ < host.moveNext || host.ownOpen == 0) return;
         double room = 0.0;
         for (const auto& [id, other] : hosts_) {
             if (&other == &host || !ready(other) || unhealthy(other) || ejected(other) || !fresh(other))
                 continue;
-            room += std::max(0.0, kRelievedTo - other.load) * warmth(other);
+            room += std::max(0.0, knee_ - kRelieveBeyond - other.load) * warmth(other);
         }
-        const double own = host.ownLoad * (host.load - kRelievedTo) / host.load;
-        const double shed = host.ownLoad * (host.load - kShedTo) / host.load;
+        const double own = host.ownLoad * (host.load - knee_ + kRelieveBeyond) / host.load;
+        const double shed = host.ownLoad * (host.load - knee_) / host.load;
         moveOff(host, std::max(shed, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes))));
         host.moveNext = now_ + kMoveSettle;
     }
@@ -802,7 +824,8 @@
     // host stops.
     void evacuate() {
         const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const auto& item) {
-            return ready(item.second) && !unhealthy(item.second) && item.second.utilisation < kHolderLimit;
+            return ready(item.second) && !unhealthy(item.second) &&
+                   item.second.utilisation < kFull * (knee_ + kHolderMore);
         });
         if (!room) return;
         for (auto& [id, host] : hosts_) {
@@ -839,6 +862,7 @@
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
     double loadShare_ = 1.0 / kLeastCapacity;  // of a host's capacity, for one unit of load
+    double knee_ = kKneeFirst;                 // load over capacity at which messages begin to come late
     double crossing_ = 1.0;                    // on the weight of hosts in other zones
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
