--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -44,7 +44,6 @@
 constexpr double kRelieveBeyond = 0.05;  // load over capacity: moves start this far above the knee
 constexpr double kCrossing = 0.3;        // on the weight of other zones' hosts while the own has room
 constexpr double kZoneEasy = 50;         // per cent: up to here the own zone is preferred in full
-constexpr double kZoneBusy = 80;         // per cent: from here on not at all
 constexpr double kColdSafety = 0.5;      // part of the cold budget used: peers and clocks are uneven
 constexpr double kUsualLoad = 40'000;    // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;       // weight of one load note in the mean of a class
@@ -53,8 +52,7 @@
 constexpr Micros kMoveSettle = 2s;       // a move shows in reports after the gap, a report and its lag
 constexpr double kEvacuateShare = 0.05;  // of a host's connections a tick: a fifth of a second for most
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
-constexpr double kYieldFleet = 75;       // mean per cent from which over-share tenants are refused
-constexpr double kBusyFleet = 60;        // mean per cent from which a full draw would tip hosts over
+constexpr double kBusyBelow = 0.1;       // load over capacity: a fleet is busy from this far under the knee
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
 // ---- small helpers ----
@@ -332,7 +330,7 @@
             ++count;
         }
         if (count == 0) return 1.0;
-        const double used = std::clamp((sum / count - kZoneEasy) / (kZoneBusy - kZoneEasy), 0.0, 1.0);
+        const double used = std::clamp((sum / count - kZoneEasy) / (kFull * knee_ - kZoneEasy), 0.0, 1.0);
         return kCrossing + (1.0 - kCrossing) * used;
     }
 
@@ -489,12 +487,14 @@
         return known * 2 < readyHosts;
     }
 
+    bool busy() const { return meanUtilisation_ >= kFull * (knee_ - kBusyBelow); }
+
     // Departure, admission control: on a busy fleet the tenants that are over their share yield, since what
     // they add is worth little and would push the others' connections past their message aims.
     bool refuseAtOnce(const Request& r) const {
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
         if (tenant >= tenantOpen_.size() || s_.tenants[tenant].quotaConnections <= 0) return false;
-        return s_.overShareWorth < 1.0 && meanUtilisation_ >= kYieldFleet && mayRefuse(r) &&
+        return s_.overShareWorth < 1.0 && busy() && mayRefuse(r) &&
                tenantOpen_[tenant] * static_cast<double>(s_.nodes) > s_.tenants[tenant].quotaConnections;
     }
 
@@ -542,7 +542,7 @@
             return utilisation(*c.host) >= kFull * (holds(*c.host, r) ? knee_ + kHolderMore : knee_);
         };
         if (std::all_of(candidates.begin(), candidates.end(), full)) return false;
-        if (meanUtilisation_ >= kBusyFleet) std::erase_if(candidates, full);
+        if (busy()) std::erase_if(candidates, full);
         return true;
     }
 
