--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -261,8 +261,7 @@
             host->probeFailures = 0;
             host->trust += (1.0 - host->trust) * kTrustHealing;
         } else if (e.outcome != Outcome::Full) {
-            // A failed probe after a failed attempt is two witnesses: no second probe is waited for.
-            host->probeFailures += host->attemptFailures > 0 ? kProbeFailures : 1;
+            ++host->probeFailures;
             confirm(*host);
         }
         if (e.report) take(*host, *e.report);
