--- a/src/simhost/dispatch.cpp
+++ b/src/simhost/dispatch.cpp
@@ -131,7 +131,7 @@
     const auto text = fields.bytes(fields.u32());
     NodeSettings parsed = parseSettings({reinterpret_cast<const char*>(text.data()), text.size()});
     parsed.settings.seed = seed;
-    nodes_[*context_] = Node{std::move(parsed.reportFields), makeRules(std::move(parsed.settings))};
+    nodes_[*context_] = Node{std::move(parsed.reportFields), factory_(std::move(parsed.settings))};
     deliver(now, Started{}, reply);
 }
 
--- a/src/simhost/dispatch.hpp
+++ b/src/simhost/dispatch.hpp
@@ -4,11 +4,13 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "simhost/settings.hpp"
@@ -18,6 +20,10 @@
 
 class Dispatcher {
   public:
+    using Factory = std::function<std::unique_ptr<Rules>(Settings)>;
+
+    explicit Dispatcher(Factory factory = makeRules) : factory_(std::move(factory)) {}
+
     // Takes one whole frame and returns the bytes of its reply.
     std::vector<std::uint8_t> answer(std::span<const std::uint8_t> frame);
 
@@ -41,6 +47,7 @@
     Probed probed(Reader& fields);
     std::optional<LoadReport> report(Reader& fields);
 
+    Factory factory_;
     std::map<std::uint16_t, Node> nodes_;
     std::array<std::vector<HostEntry>, kMaxSheets> sheets_;
     std::optional<std::uint16_t> context_;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -82,6 +82,17 @@
     EXPECT_EQ(Bytes(reply.begin(), reply.begin() + static_cast<std::ptrdiff_t>(head.size())), head);
 }
 
+class Broken final : public Rules {
+  public:
+    void handle(Time, const Event&, std::vector<Action>&) override { throw std::runtime_error("broken"); }
+};
+
+TEST(Dispatch, AnExceptionInTheModuleBecomesDieWithItsText) {
+    Dispatcher dispatcher{[](Settings) { return std::make_unique<Broken>(); }};
+    EXPECT_EQ(dispatcher.answer(frame(1, {context(3), powerOn(smallSettings())})),
+              hex("18000000 02000000 44 02000000 0300 4d 08000000 0600 62726f6b656e"));
+}
+
 TEST(Dispatch, StopAndPowerOnInOneBatchGiveAFreshNode) {
     Dispatcher dispatcher;
     dispatcher.answer(frame(1000, {context(3), powerOn(smallSettings())}));
