--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -185,7 +185,6 @@
     void watch() {
         act(Watch{});
         watchDue_ = now_ + s_.rules.mustAskIn / 2;  // asked again if no answer comes at all
-        watching_ = false;
     }
 
     void on(const ListChanged& e) {
@@ -195,7 +194,6 @@
             return;
         }
         if (e.kind != ListKind::Cached) {
-            watching_ = true;
             watchBackoff_ = Micros{0};
             watchDue_ = Time::max();
         }
@@ -216,7 +214,8 @@
     void update(const HostEntry& entry) {
         const auto [at, isNew] = hosts_.try_emplace(entry.id);
         Host& host = at->second;
-        if (!isNew && host.entry.launched != entry.launched) {
+        const bool restarted = !isNew && host.entry.launched != entry.launched;
+        if (restarted) {
             // A restart under the same id: what was known of the old process does not count.
             const double load = host.ownLoad;
             const int open = host.ownOpen;
@@ -224,10 +223,9 @@
             host.ownLoad = load;
             host.ownOpen = open;
         }
-        const bool fresh = isNew || host.entry.launched != entry.launched;
         host.entry = entry;
         host.listed = entry.availability != Availability::Gone;
-        if (fresh) {
+        if (isNew || restarted) {
             host.probeDue = now_;  // at once; the steady probes that follow are in a phase of their own
             host.coldNext = now_ + scaled(s_.rules.fall, random_.next());
         }
@@ -868,7 +866,6 @@
     double setupUs_ = 0.0;
     Time watchDue_{Time::max()};
     Micros watchBackoff_{0};
-    bool watching_ = false;
 };
 
 }  // namespace
