--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -21,10 +21,17 @@
 constexpr double kUnknownUtilisation = 50;  // per cent: the draft's figure where nothing is known (9.1.2)
 constexpr Micros kFreshFor = 5s;            // the draft's age at which a figure no longer counts (9.1.2)
 constexpr Micros kProbeEvery = 1s;          // the draft lets a figure change once a second (9.2.1)
+constexpr Micros kProbeMost = 4500ms;       // a late answer still comes before the figure is 5 s old
+constexpr double kProbesPerRequest = 4.0;   // steady probes of hosts that hold nothing of this node: no more
+constexpr Micros kRecent = 2s;              // span of a node's own sends that tells what others send now
+constexpr Micros kRateOver = 10s;           // span over which a node knows its own arrivals
+constexpr double kRateFirst = 1.0;          // arrivals a second at a node, until some were seen
+constexpr Micros kAskOlder = 2s;            // a figure older than two of the draft's changes is asked anew
+constexpr Micros kAskPatience = 150ms;      // several round trips; a host that answers later is passed over
+constexpr std::size_t kAsks = 4;            // hosts asked for one request: over nine in ten draws end before
 constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
 constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
 constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
-constexpr Micros kFirstFigures = 150ms;     // the longest a starting node waits for its first probes
 constexpr int kProbeFailures = 2;           // probes in a row: one may be lost, two make a host unhealthy
 constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
 constexpr double kTrustStep = 0.2;          // weight of one attempt in a host's success share: ~5 count
@@ -77,7 +84,8 @@
 class Random {  // splitmix64, so that a seed gives the same numbers everywhere
   public:
     explicit Random(std::uint64_t seed) : state_(seed) {}
-    double next() { return unitInterval(mix(state_ += 0x9e3779b97f4a7c15ULL)); }
+    std::uint64_t bits() { return mix(state_ += 0x9e3779b97f4a7c15ULL); }
+    double next() { return unitInterval(bits()); }
 
   private:
     std::uint64_t state_;
@@ -107,8 +115,9 @@
     double load = 0.0;    // load over capacity, unclamped
     double active = 0.0;  // requests held, where told
     // probes and health
-    Time probeDue{0};
-    bool probed = false;
+    Time probeDue{0};             // of the steady probes
+    Time confirmAt{Time::max()};  // of a further one, while the host is in doubt
+    Time probedAt{0};
     bool probeOut = false;
     int probeFailures = 0;
     int attemptFailures = 0;
@@ -131,7 +140,11 @@
     Time deadline{0};
     double load = 0.0;
     int attempts = 0;
+    std::uint64_t draw = 0;  // the random number of this request's draw
     std::vector<HostId> tried;
+    std::vector<HostId> probedFor;  // hosts probed for this request
+    Time askedAt{0};                // the last of them
+    bool waitsForFigure = false;
     bool out = false;  // an attempt is outstanding
     bool open = false;
     HostId host{};
@@ -164,7 +177,7 @@
     // ---- start, clock, list ----
 
     void on(const Started&) {
-        startedAt_ = now_;
+        rateAt_ = now_;
         if (s_.listMode == ListMode::Ask) watch();
         act(SetTimer{scaled(tick_, random_.next()) + Micros{1}, TimerToken{0}});
     }
@@ -226,7 +239,6 @@
         host.entry = entry;
         host.listed = entry.availability != Availability::Gone;
         if (isNew || restarted) {
-            host.probeDue = now_;  // at once; the steady probes that follow are in a phase of their own
             host.coldNext = now_ + scaled(s_.rules.fall, random_.next());
         }
     }
@@ -235,20 +247,47 @@
 
     void probeDueHosts() {
         if (!s_.limits.probes) return;
+        const std::optional<Micros> every = steadyInterval();
         for (auto& [id, host] : hosts_) {
-            if (!host.listed || host.probeOut || now_ < host.probeDue) continue;
-            act(Probe{id});
-            host.probeOut = true;
-            host.probeDue = now_ + (host.probed ? kProbeEvery : scaled(kProbeEvery, 0.5 + random_.next()));
-            host.probed = true;
+            if (!host.listed || host.probeOut) continue;
+            // Departure, asking by need: a node that sees a small part of the traffic of a large fleet probes
+            // steadily where it has connections, and the others when they lead a draw. Prevents that probes
+            // outnumber requests by hundreds and take the hosts' capacity.
+            const bool steady = every || host.ownOpen > 0 || host.probeFailures > 0;
+            if (now_ >= host.confirmAt || (steady && now_ >= host.probeDue)) probe(host);
         }
     }
 
+    void probe(Host& host) {
+        act(Probe{host.entry.id});
+        const bool first = host.probeDue == Time{0};  // those that follow are in a phase of their own
+        host.probeDue =
+            now_ + scaled(steadyInterval().value_or(kProbeMost), first ? 0.5 + random_.next() : 1.0);
+        host.confirmAt = Time::max();
+        host.probedAt = now_;
+        host.probeOut = true;
+    }
+
+    // The interval at which all hosts can be probed for a few probes a request; none if that is too long.
+    std::optional<Micros> steadyInterval() const {
+        const double perSecond = kProbesPerRequest * ownRate();
+        const double every = static_cast<double>(hosts_.size()) / perSecond;
+        if (every <= seconds(kProbeMost)) return std::max(kProbeEvery, scaled(1s, every));
+        // So few nodes that a host still gets no more than one probe a second in all.
+        return s_.nodes * kProbeEvery <= kProbeMost ? std::optional(kProbeMost) : std::nullopt;
+    }
+
+    double ownRate() const { return rate_ * std::exp(-seconds(now_ - rateAt_) / seconds(kRateOver)); }
+
+    void countArrival() {
+        rate_ = ownRate() + 1.0 / seconds(kRateOver);
+        rateAt_ = now_;
+    }
+
     // Departure: a host in doubt is probed at the draft's own pace, until it answers or is surely lost.
     // Prevents that connections wait for seconds on a cut link or a dead host.
     void confirm(Host& host) {
-        if (host.probeFailures <= kProbeFailures)
-            host.probeDue = std::min(host.probeDue, now_ + kConfirmEvery);
+        if (host.probeFailures <= kProbeFailures) host.confirmAt = now_ + kConfirmEvery;
     }
 
     void on(const Probed& e) {
@@ -296,14 +335,27 @@
         double sum = 0.0;
         double loads = 0.0;
         double own = 0.0;
+        double ownShown = 0.0;
         double active = 0.0;
         int ownOpen = 0;
         int count = 0;
+        int listed = 0;
+        recentLoad_ = 0.0;
+        recentCount_ = 0;
         for (const auto& [id, host] : hosts_) {
-            if (!host.listed || !fresh(host)) continue;
+            if (!host.listed) continue;
+            ++listed;
+            for (const Placement& p : host.recent) {
+                if (p.at <= now_ - kRecent) continue;
+                recentLoad_ += p.load;
+                ++recentCount_;
+            }
+            const double shown = host.ownLoad - sentSince(host);  // the figures do not show the rest yet
+            own += shown;
+            if (!fresh(host)) continue;
             sum += host.utilisation;
             loads += host.load;
-            own += host.ownLoad - sentSince(host);  // the figures do not show these yet
+            ownShown += shown;
             ownOpen += host.ownOpen - static_cast<int>(host.recent.size());
             active += host.active;
             ++count;
@@ -311,7 +363,8 @@
         meanUtilisation_ = count > 0 ? sum / count : kUnknownUtilisation;
         // What one unit of load adds to a host, over its capacity. The hosts' own counts tell how much there
         // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
-        const double all = active > 0 && ownOpen > 0 ? active * own / ownOpen : own * s_.nodes;
+        const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
+                                                     : own * s_.nodes * count / std::max(listed, 1);
         const double capacity = loads > 0 ? all / loads : 0.0;
         loadShare_ = 1.0 / std::clamp(capacity, kLeastCapacity, kMostCapacity);
     }
@@ -342,9 +395,20 @@
 
     double utilisation(const Host& host) const {
         const double stated = fresh(host) ? host.utilisation : meanUtilisation_;
-        // Departure, accounting between reports: what was sent since the figure was taken is added to it,
-        // times the number of nodes, who see the same figure. Prevents herding onto a host that reported low.
-        return std::min(kFull, stated + kFull * sentSince(host) * loadShare_ * s_.nodes / warmth(host));
+        return std::min(kFull,
+                        stated + kFull * (sentSince(host) + sentByOthers(host)) * loadShare_ / warmth(host));
+    }
+
+    // Departure, accounting between reports: what this node sent since the figure was taken is added to it,
+    // and what the others will have sent: each about as much as this one, spread over the hosts as far as
+    // this one's sends are too few to tell. Prevents herding onto a host that reported low.
+    double sentByOthers(const Host& host) const {
+        const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
+        const double rate = recentLoad_ / seconds(kRecent);
+        const double spread =
+            rate * seconds(age + kReportLag) / std::max(1.0, static_cast<double>(hosts_.size()));
+        const double told = recentCount_ / (recentCount_ + static_cast<double>(hosts_.size()));
+        return (s_.nodes - 1.0) * (told * sentSince(host) + (1.0 - told) * spread);
     }
 
     // ---- health ----
@@ -408,6 +472,8 @@
         r.arrivedAt = now_;
         r.deadline = now_ + e.patience;
         r.load = expectedLoad(e);
+        r.draw = random_.bits();
+        countArrival();
         place(e.request, r);
     }
 
@@ -461,7 +527,6 @@
     // Holds the request, sends it, or gives its final answer.
     void place(RequestId id, Request& r) {
         if (r.attempts >= s_.limits.attempts || now_ >= lastMoment(r)) return finish(id, r);
-        if (startingBlind()) return;
         if (refuseAtOnce(r)) return finish(id, r);
         Host* host = choose(r);
         if (host == nullptr) {
@@ -473,18 +538,6 @@
         send(id, r, *host);
     }
 
-    // Departure: for a moment after its start a node waits for its first figures rather than place blind.
-    bool startingBlind() const {
-        if (!s_.limits.probes || now_ >= startedAt_ + kFirstFigures) return false;
-        int known = 0;
-        int readyHosts = 0;
-        for (const auto& [id, host] : hosts_) {
-            readyHosts += ready(host) ? 1 : 0;
-            known += ready(host) && host.reported ? 1 : 0;
-        }
-        return known * 2 < readyHosts;
-    }
-
     bool busy() const { return meanUtilisation_ >= kFull * (knee_ - kBusyBelow); }
 
     // Departure, admission control: on a busy fleet the tenants that are over their share yield, since what
@@ -498,47 +551,129 @@
 
     struct Candidate {
         Host* host;
-        double weight;
+        double factor;  // on 100 minus the utilisation
+        double chance;  // of this request and host, in (0, 1)
     };
 
-    Host* choose(const Request& r) {
+    Host* choose(Request& r) {
         measureFleet();
         std::vector<Candidate> candidates = candidatesFor(r, true);
         if (candidates.empty()) candidates = candidatesFor(r, false);
         if (candidates.empty()) return nullptr;
         if (mayRefuse(r) && !admit(candidates, r)) return nullptr;
-        double total = 0.0;
+        r.waitsForFigure = false;
+        if (Host* host = holder(candidates, r)) return host;
+        if (!r.waitsForFigure && !canAsk()) return drawn(candidates, r);
+        std::vector<Candidate> left = candidates;
+        Host* leader = r.waitsForFigure ? nullptr : ask(left, r);
+        if (leader != nullptr || r.waitsForFigure) return leader;
+        // All were silent, or nobody has room: the request is drawn as the figures stand, or held.
+        const bool silent = std::none_of(candidates.begin(), candidates.end(),
+                                         [this](const Candidate& c) { return fresh(*c.host); });
+        return silent || !mayRefuse(r) ? drawn(candidates, r) : nullptr;
+    }
+
+    // The draw as a race: of all hosts the one with the least -log(chance) / weight wins, which each does in
+    // proportion to its weight. A host that can still be asked could weigh up to 100; if it leads even so, it
+    // is asked first. So the draw is the same as with all figures at hand, for a few probes.
+    Host* ask(std::vector<Candidate>& candidates, Request& r) {
+        std::erase_if(candidates, [&](const Candidate& c) { return silent(*c.host, r); });
+        while (!candidates.empty()) {
+            const auto leader = lead(candidates, [&](const Host& host) {
+                return askable(host, r) ? kFull : kFull - utilisation(host);
+            });
+            if (leader == candidates.end()) return nullptr;
+            Host& host = *leader->host;
+            if (askable(host, r)) {
+                askFor(host, r);
+                return nullptr;
+            }
+            if (!mayRefuse(r) || !busy() || !full(host, holds(host, r))) return &host;
+            candidates.erase(leader);
+        }
+        return nullptr;
+    }
+
+    // Whether this request may still ask, or is waiting for, the host's figure.
+    bool askable(const Host& host, const Request& r) const {
+        if (known(host)) return false;
+        if (asked(host, r)) return host.probeOut && now_ < r.askedAt + kAskPatience;
+        return r.probedFor.size() < kAsks && (!host.probeOut || now_ < host.probedAt + kAskPatience);
+    }
+
+    static bool asked(const Host& host, const Request& r) {
+        return std::find(r.probedFor.begin(), r.probedFor.end(), host.entry.id) != r.probedFor.end();
+    }
+
+    bool silent(const Host& host, const Request& r) const {
+        return asked(host, r) && !known(host) && !askable(host, r);
+    }
+
+    void askFor(Host& host, Request& r) {
+        r.waitsForFigure = true;
+        if (asked(host, r)) return;
+        if (!host.probeOut) probe(host);
+        r.probedFor.push_back(host.entry.id);
+        r.askedAt = now_;
+    }
+
+    bool canAsk() const { return s_.limits.probes && s_.reportMode != ReportMode::None; }
+
+    bool known(const Host& host) const {
+        return !canAsk() || (host.reported && now_ - host.reportedAt < kAskOlder);
+    }
+
+    // Members go where the node already has some: the host with most of them, while it has room.
+    Host* holder(const std::vector<Candidate>& candidates, Request& r) {
+        if (!grouped(r)) return nullptr;
+        Host* best = nullptr;
+        int most = 0;
         for (const Candidate& c : candidates) {
-            total += c.weight;
+            const auto members = members_.find({r.asked.group, c.host->entry.id});
+            if (members == members_.end() || members->second <= most) continue;
+            if (known(*c.host) && full(*c.host, true)) continue;
+            best = c.host;
+            most = members->second;
         }
-        if (total <= 0.0) {  // all weights are zero: draw evenly
-            for (Candidate& c : candidates) {
-                c.weight = 1.0;
-            }
-            total = static_cast<double>(candidates.size());
+        if (best != nullptr && askable(*best, r)) {
+            askFor(*best, r);
+            return nullptr;
         }
-        if (grouped(r)) return chooseForGroup(candidates, r.asked.group);
-        if (s_.flowMode == FlowMode::Pass && r.asked.key != KeyId{0}) {
-            return rendezvous(candidates, static_cast<std::uint64_t>(r.asked.key));
+        return best == nullptr || known(*best) ? best : nullptr;
+    }
+
+    Host* drawn(std::vector<Candidate>& candidates, const Request& r) {
+        if (mayRefuse(r) && busy()) {
+            std::erase_if(candidates, [&](const Candidate& c) { return full(*c.host, holds(*c.host, r)); });
         }
-        double point = random_.next() * total;
-        for (const Candidate& c : candidates) {
-            point -= c.weight;
-            if (point < 0.0) return c.host;
+        auto winner = lead(candidates, [this](const Host& host) { return kFull - utilisation(host); });
+        // All weights are zero: draw evenly.
+        if (winner == candidates.end()) winner = lead(candidates, [](const Host&) { return 1.0; });
+        return winner == candidates.end() ? nullptr : winner->host;
+    }
+
+    template <class Weight>
+    std::vector<Candidate>::iterator lead(std::vector<Candidate>& candidates, Weight weight) const {
+        auto best = candidates.end();
+        double least = 0.0;
+        for (auto c = candidates.begin(); c != candidates.end(); ++c) {
+            const double w = weight(*c->host) * c->factor;
+            if (w <= 0.0) continue;
+            const double score = -std::log(c->chance) / w;
+            if (best != candidates.end() && score >= least) continue;
+            best = c;
+            least = score;
         }
-        return std::find_if(candidates.rbegin(), candidates.rend(),
-                            [](const Candidate& c) { return c.weight > 0; })
-            ->host;
+        return best;
     }
 
     // Departure, admission control: where no host has room nothing is drawn, and on a busy fleet only those
     // that have room. Prevents that an overloaded fleet places everything and serves nobody within the
     // message aim.
-    bool admit(std::vector<Candidate>& candidates, const Request& r) const {
-        const auto noRoom = [&](const Candidate& c) { return full(*c.host, holds(*c.host, r)); };
-        if (std::all_of(candidates.begin(), candidates.end(), noRoom)) return false;
-        if (busy()) std::erase_if(candidates, noRoom);
-        return true;
+    bool admit(const std::vector<Candidate>& candidates, const Request& r) const {
+        return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& c) {
+            return askable(*c.host, r) || !full(*c.host, holds(*c.host, r));
+        });
     }
 
     bool full(const Host& host, bool holder) const {
@@ -547,7 +682,9 @@
 
     std::vector<Candidate> candidatesFor(const Request& r, bool strict) {
         const double crossing = grouped(r) ? 1.0 : crossingFactor();
+        const std::uint64_t key = drawKey(r);
         std::vector<Candidate> result;
+        result.reserve(hosts_.size());
         for (auto& [id, host] : hosts_) {
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
@@ -555,45 +692,25 @@
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
-            result.push_back({&host, (kFull - utilisation(host)) * host.trust * warmth(host) *
-                                         (host.entry.zone != s_.zone ? crossing : 1.0)});
+            const double factor = host.trust * warmth(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
+            const auto number = static_cast<std::uint64_t>(id);
+            result.push_back({&host, factor, unitInterval(mix(mix(key) ^ mix(number + 1)))});
         }
         return result;
     }
 
-    bool holds(const Host& host, const Request& r) const {
-        return grouped(r) && members_.contains({r.asked.group, host.entry.id});
-    }
-
     // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
     // number is made from the group and the host (weighted rendezvous hashing). Over groups the shares stay
-    // in proportion to the weights, while the members meet on one host at all nodes. Members go where the
-    // node already has some.
-    Host* chooseForGroup(const std::vector<Candidate>& candidates, GroupId group) const {
-        Host* best = nullptr;
-        int most = 0;
-        for (const Candidate& c : candidates) {
-            const auto members = members_.find({group, c.host->entry.id});
-            if (members == members_.end() || members->second <= most) continue;
-            if (full(*c.host, true)) continue;
-            best = c.host;
-            most = members->second;
-        }
-        return best != nullptr ? best : rendezvous(candidates, static_cast<std::uint64_t>(group));
+    // in proportion to the weights, while the members meet on one host at all nodes.
+    std::uint64_t drawKey(const Request& r) const {
+        if (grouped(r)) return static_cast<std::uint64_t>(r.asked.group);
+        if (s_.flowMode == FlowMode::Pass && r.asked.key != KeyId{0})
+            return static_cast<std::uint64_t>(r.asked.key);
+        return r.draw;
     }
 
-    static Host* rendezvous(const std::vector<Candidate>& candidates, std::uint64_t key) {
-        Host* best = nullptr;
-        double least = 0.0;
-        for (const Candidate& c : candidates) {
-            if (c.weight <= 0.0) continue;
-            const auto id = static_cast<std::uint64_t>(c.host->entry.id);
-            const double score = -std::log(unitInterval(mix(mix(key) ^ mix(id + 1)))) / c.weight;
-            if (best != nullptr && score >= least) continue;
-            best = c.host;
-            least = score;
-        }
-        return best;
+    bool holds(const Host& host, const Request& r) const {
+        return grouped(r) && members_.contains({r.asked.group, host.entry.id});
     }
 
     void send(RequestId id, Request& r, Host& host) {
@@ -852,7 +969,10 @@
     Random random_;
     Micros tick_{kTick};
     Time now_{0};
-    Time startedAt_{0};
+    double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
+    int recentCount_ = 0;
+    double rate_ = kRateFirst;  // own arrivals a second, as of rateAt_
+    Time rateAt_{0};
     std::vector<Action>* out_ = nullptr;
 
     std::map<HostId, Host> hosts_;
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -82,6 +82,7 @@
     }
 
     void load(std::uint64_t id, double loadOverCapacity) { loads_[HostId{id}] = loadOverCapacity; }
+    void silence(std::uint64_t id) { loads_.erase(HostId{id}); }
     void failProbes(std::uint64_t id) { loads_[HostId{id}] = -1.0; }
 
     RequestId ask(std::uint64_t group = 0, Micros patience = 3200ms, std::uint32_t cls = 0,
