--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -60,6 +60,7 @@
 constexpr double kEvacuateShare = 0.05;  // of a host's connections a tick: a fifth of a second for most
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
 constexpr double kBusyBelow = 0.1;       // load over capacity: a fleet is busy from this far under the knee
+constexpr double kChance = 2.0;          // standard deviations: one count in forty is further off by chance
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
 // ---- small helpers ----
@@ -541,12 +542,14 @@
     bool busy() const { return meanUtilisation_ >= kFull * (knee_ - kBusyBelow); }
 
     // Departure, admission control: on a busy fleet the tenants that are over their share yield, since what
-    // they add is worth little and would push the others' connections past their message aims.
+    // they add is worth little and would push the others' connections past their message aims. A node that
+    // holds few connections takes a tenant to be over only where its count can hardly be chance.
     bool refuseAtOnce(const Request& r) const {
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
         if (tenant >= tenantOpen_.size() || s_.tenants[tenant].quotaConnections <= 0) return false;
+        const double part = s_.tenants[tenant].quotaConnections / s_.nodes;
         return s_.overShareWorth < 1.0 && busy() && mayRefuse(r) &&
-               tenantOpen_[tenant] * static_cast<double>(s_.nodes) > s_.tenants[tenant].quotaConnections;
+               tenantOpen_[tenant] > part + kChance * std::sqrt(part);
     }
 
     struct Candidate {
