--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -591,7 +591,10 @@
                 askFor(host, r);
                 return nullptr;
             }
-            if (!mayRefuse(r) || !busy() || !full(host, holds(host, r))) return &host;
+            // Departure: a group spreads over as many hosts as one request asks, no further. Prevents that a
+            // busy fleet scatters its groups and so adds to its own load.
+            if (grouped(r) && !known(host) && mayRefuse(r)) return nullptr;
+            if (!mayRefuse(r) || !(busy() || grouped(r)) || !full(host, grouped(r))) return &host;
             candidates.erase(leader);
         }
         return nullptr;
@@ -600,7 +603,7 @@
     // Departure, level weights for groups: up to the knee hosts weigh alike in the draw of a group. Prevents
     // that a group's own load drives its later members from its host.
     double weight(const Request& r, double utilisation) const {
-        return kFull - (grouped(r) ? std::max(utilisation, kFull * knee_) : utilisation);
+        return kFull - (grouped(r) ? std::max(utilisation, kFull * (knee_ + kHolderMore)) : utilisation);
     }
 
     // Whether this request may still ask, or is waiting for, the host's figure.
