--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -583,7 +583,7 @@
         std::erase_if(candidates, [&](const Candidate& c) { return silent(*c.host, r); });
         while (!candidates.empty()) {
             const auto leader = lead(candidates, [&](const Host& host) {
-                return askable(host, r) ? weight(r, 0.0) : weight(r, utilisation(host));
+                return askable(host, r) ? kFull : kFull - utilisation(host);
             });
             if (leader == candidates.end()) return nullptr;
             Host& host = *leader->host;
@@ -600,12 +600,6 @@
         return nullptr;
     }
 
-    // Departure, level weights for groups: up to the knee hosts weigh alike in the draw of a group. Prevents
-    // that a group's own load drives its later members from its host.
-    double weight(const Request& r, double utilisation) const {
-        return kFull - (grouped(r) ? std::max(utilisation, kFull * (knee_ + kHolderMore)) : utilisation);
-    }
-
     // Whether this request may still ask, or is waiting for, the host's figure.
     bool askable(const Host& host, const Request& r) const {
         if (known(host)) return false;
@@ -658,7 +652,7 @@
         if (mayRefuse(r) && busy()) {
             std::erase_if(candidates, [&](const Candidate& c) { return full(*c.host, holds(*c.host, r)); });
         }
-        auto winner = lead(candidates, [&](const Host& host) { return weight(r, utilisation(host)); });
+        auto winner = lead(candidates, [&](const Host& host) { return kFull - utilisation(host); });
         // All weights are zero: draw evenly.
         if (winner == candidates.end()) winner = lead(candidates, [](const Host&) { return 1.0; });
         return winner == candidates.end() ? nullptr : winner->host;
