--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -188,6 +189,7 @@
         for (auto& [id, host] : hosts_) {
             std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kFreshFor; });
         }
+        forgetArrivals();
         act(SetTimer{tick_, TimerToken{0}});
         if (s_.listMode == ListMode::Ask && now_ >= watchDue_) watch();
         probeDueHosts();
@@ -280,11 +282,21 @@
 
     double ownRate() const { return rate_ * std::exp(-seconds(now_ - rateAt_) / seconds(kRateOver)); }
 
-    void countArrival() {
+    void countArrival(double load) {
+        asked_.emplace_back(now_, load);
+        askedLoad_ += load;
         rate_ = ownRate() + 1.0 / seconds(kRateOver);
         rateAt_ = now_;
     }
 
+    void forgetArrivals() {
+        while (!asked_.empty() && asked_.front().first <= now_ - s_.rules.fall) {
+            askedLoad_ -= asked_.front().second;
+            asked_.pop_front();
+        }
+        if (asked_.empty()) askedLoad_ = 0.0;
+    }
+
     // Departure: a host in doubt is probed at the draft's own pace, until it answers or is surely lost.
     // Prevents that connections wait for seconds on a cut link or a dead host.
     void confirm(Host& host) {
@@ -454,17 +466,33 @@
 
     bool coldRoom(const Host& host) const { return warmth(host) >= 1.0 || now_ >= host.coldNext; }
 
-    // Departure, slow start: each node keeps to its own part of what a cold host stands, evenly spaced, so
-    // that all nodes together never push it over. What fills it over its warm-up is what it can take.
+    // What a cold host stands a second, with a margin: what fills it over its warm-up, times the multiple.
+    double coldPerSecond(const Host& host) const {
+        return kColdSafety * s_.rules.fallMultiple * warmth(host) / loadShare_ / seconds(s_.rules.warmAfter);
+    }
+
+    // Departure, slow start: each node spaces its sends to a cold host by its own part of what the host
+    // stands. Prevents that few nodes with much traffic push it over.
     void spendCold(Host& host, double load) {
-        const double warm = warmth(host);
-        if (warm >= 1.0) return;
-        const double perSecond = kColdSafety * s_.rules.fallMultiple * warm / loadShare_ /
-                                 seconds(s_.rules.warmAfter) / static_cast<double>(s_.nodes);
+        if (warmth(host) >= 1.0) return;
+        const double perSecond = coldPerSecond(host) / static_cast<double>(s_.nodes);
         const double wait = perSecond > 0 ? load / perSecond : seconds(s_.rules.warmAfter);
         host.coldNext = now_ + scaled(1s, std::min(wait, seconds(s_.rules.warmAfter)));
     }
 
+    // Departure, slow start among many nodes: where a node's part is less than one connection, a cold host
+    // stays in the draw of a request by chance, so that in the mean all nodes together send what it stands.
+    // Prevents that the first sends of hundreds of nodes meet on it, and that it gets nothing after them.
+    bool coldChance(const Request& r, const Host& host) const {
+        if (warmth(host) >= 1.0) return true;
+        const double weight = (known(host) ? kFull - utilisation(host) : kFull) * host.trust * warmth(host);
+        const double all = std::max(1.0, kFull - meanUtilisation_) * static_cast<double>(hosts_.size());
+        const double others = (s_.nodes - 1.0) * askedLoad_ * std::min(1.0, weight / all);
+        const double stands = coldPerSecond(host) * seconds(s_.rules.fall);
+        const auto id = static_cast<std::uint64_t>(host.entry.id);
+        return unitInterval(mix(r.draw + mix(id))) * others < stands;
+    }
+
     // ---- requests ----
 
     void on(const Arrived& e) {
@@ -474,7 +502,7 @@
         r.deadline = now_ + e.patience;
         r.load = expectedLoad(e);
         r.draw = random_.bits();
-        countArrival();
+        countArrival(r.load);
         place(e.request, r);
     }
 
@@ -692,7 +720,8 @@
         std::vector<Candidate> result;
         result.reserve(hosts_.size());
         for (auto& [id, host] : hosts_) {
-            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
+            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !coldChance(r, host) || !mayGo(r, host))
+                continue;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
@@ -911,11 +940,16 @@
     void relieve(Host& host) {
         if (host.load <= knee_ + kRelieveBeyond || now_ < host.moveNext || host.ownOpen == 0) return;
         double room = 0.0;
+        int usable = 0;
+        int told = 0;
         for (const auto& [id, other] : hosts_) {
-            if (&other == &host || !ready(other) || unhealthy(other) || ejected(other) || !fresh(other))
-                continue;
+            if (&other == &host || !ready(other) || unhealthy(other) || ejected(other)) continue;
+            ++usable;
+            if (!fresh(other)) continue;
+            ++told;
             room += std::max(0.0, knee_ - kRelieveBeyond - other.load) * warmth(other);
         }
+        if (told > 0) room *= static_cast<double>(usable) / told;  // the others are taken to be like those
         const double own = host.ownLoad * (host.load - knee_ + kRelieveBeyond) / host.load;
         const double shed = host.ownLoad * (host.load - knee_) / host.load;
         moveOff(host, std::max(shed, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes))));
@@ -930,7 +964,9 @@
         std::sort(there.begin(), there.end());
         for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
-            if (load < r.load / 2) return;
+            // By chance for the last, so that over many nodes with a part of one connection each the sum is
+            // right.
+            if (load < r.load * random_.next()) return;
             load -= r.load;
             move(id, r);
         }
@@ -955,7 +991,7 @@
             const bool draining = host.listed && host.entry.availability == Availability::Draining;
             const bool lost = host.listed && host.probeFailures > kProbeFailures;
             if (host.ownOpen == 0 || (!draining && !lost)) continue;
-            moveOff(host, std::max(host.ownLoad * kEvacuateShare, host.ownLoad / host.ownOpen));
+            moveOff(host, host.ownLoad * kEvacuateShare);
         }
     }
 
@@ -977,7 +1013,9 @@
     Time now_{0};
     double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
     int recentCount_ = 0;
-    double rate_ = kRateFirst;  // own arrivals a second, as of rateAt_
+    std::deque<std::pair<Time, double>> asked_;  // arrivals within the window of the cold rule
+    double askedLoad_ = 0.0;                     // their load
+    double rate_ = kRateFirst;                   // own arrivals a second, as of rateAt_
     Time rateAt_{0};
     std::vector<Action>* out_ = nullptr;
 
