--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -374,6 +374,10 @@
             ++count;
         }
         meanUtilisation_ = count > 0 ? sum / count : kUnknownUtilisation;
+        open_ = 0.0;
+        for (const auto& [id, host] : hosts_) {
+            open_ += open(host);
+        }
         // What one unit of load adds to a host, over its capacity. The hosts' own counts tell how much there
         // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
         const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
@@ -407,19 +411,27 @@
     }
 
     double utilisation(const Host& host) const {
-        const double stated = fresh(host) ? host.utilisation : meanUtilisation_;
-        return std::min(kFull,
-                        stated + kFull * (sentSince(host) + sentByOthers(host)) * loadShare_ / warmth(host));
+        const double sent = sentSince(host) + sentByOthers(host);
+        return std::min(kFull, stated(host) + kFull * sent * loadShare_ / warmth(host));
+    }
+
+    double stated(const Host& host) const { return fresh(host) ? host.utilisation : meanUtilisation_; }
+
+    // What a host draws of 100, as far as its figure leaves it room.
+    double open(const Host& host) const {
+        if (!ready(host) || unhealthy(host) || stated(host) >= kFull * knee_) return 0.0;
+        return (kFull - stated(host)) * warmth(host);
     }
 
     // Departure, accounting between reports: what this node sent since the figure was taken is added to it,
-    // and what the others will have sent: each about as much as this one, spread over the hosts as far as
-    // this one's sends are too few to tell. Prevents herding onto a host that reported low.
+    // and what the others will have sent: each about as much as this one, spread as the draw spreads it as
+    // far as this one's sends are too few to tell. Prevents herding onto a host that reported low, above all
+    // by hundreds of nodes onto the few that have room.
     double sentByOthers(const Host& host) const {
+        if (open_ <= 0.0) return 0.0;
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
         const double rate = recentLoad_ / seconds(kRecent);
-        const double spread =
-            rate * seconds(age + kReportLag) / std::max(1.0, static_cast<double>(hosts_.size()));
+        const double spread = rate * seconds(age + kReportLag) * open(host) / open_;
         const double told = recentCount_ / (recentCount_ + static_cast<double>(hosts_.size()));
         return (s_.nodes - 1.0) * (told * sentSince(host) + (1.0 - told) * spread);
     }
@@ -1011,6 +1023,7 @@
     Random random_;
     Micros tick_{kTick};
     Time now_{0};
+    double open_ = 0.0;        // what all hosts draw together, as far as they have room
     double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
     int recentCount_ = 0;
     std::deque<std::pair<Time, double>> asked_;  // arrivals within the window of the cold rule
