--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -432,7 +432,7 @@
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
         const double rate = recentLoad_ / seconds(kRecent);
         const double spread = rate * seconds(age + kReportLag) * open(host) / open_;
-        const double told = recentCount_ / (recentCount_ + static_cast<double>(hosts_.size()));
+        const double told = recentCount_ / (recentCount_ + static_cast<double>(s_.nodes));
         return (s_.nodes - 1.0) * (told * sentSince(host) + (1.0 - told) * spread);
     }
 
