--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -9,6 +9,8 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace ivyreel {
@@ -32,6 +34,7 @@
 constexpr std::size_t kAsks = 4;            // hosts asked for one request: over nine in ten draws end before
 constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
 constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
+constexpr Micros kHostsEvery = 100ms;       // passes over all hosts: well under a figure's change
 constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
 constexpr int kProbeFailures = 2;           // probes in a row: one may be lost, two make a host unhealthy
 constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
@@ -58,7 +61,7 @@
 constexpr double kLeastCapacity = 2e6;   // us of work a second: two cores, the smallest host to expect
 constexpr double kMostCapacity = 64e6;   // us of work a second: a node that just started sees little
 constexpr Micros kMoveSettle = 2s;       // a move shows in reports after the gap, a report and its lag
-constexpr double kEvacuateShare = 0.05;  // of a host's connections a tick: a fifth of a second for most
+constexpr double kEvacuateShare = 0.2;   // of a host's connections a pass: half a second for most
 constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
 constexpr double kBusyBelow = 0.1;       // load over capacity: a fleet is busy from this far under the knee
 constexpr double kChance = 2.0;          // standard deviations: one count in forty is further off by chance
@@ -185,19 +188,26 @@
     }
 
     void on(const TimerDue&) {
+        act(SetTimer{tick_, TimerToken{0}});
+        endOverdue();
+        if (now_ < hostsDue_) return retryHeld(false);
+        hostsDue_ = now_ + kHostsEvery;
         // Without reports, what was sent long ago stands in no balance either.
-        for (auto& [id, host] : hosts_) {
+        for (Host& host : hosts_) {
             std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kFreshFor; });
         }
         forgetArrivals();
-        act(SetTimer{tick_, TimerToken{0}});
         if (s_.listMode == ListMode::Ask && now_ >= watchDue_) watch();
         probeDueHosts();
-        endOverdue();
-        retryHeld();
+        retryHeld(true);
         evacuate();
     }
 
+    void forget(RequestId id) {
+        requests_.erase(id);
+        unopened_.erase(id);
+    }
+
     void watch() {
         act(Watch{});
         watchDue_ = now_ + s_.rules.mustAskIn / 2;  // asked again if no answer comes at all
@@ -214,22 +224,21 @@
             watchDue_ = Time::max();
         }
         if (e.kind != ListKind::Delta) {
-            for (auto& [id, host] : hosts_) {
+            for (Host& host : hosts_) {
                 host.listed = false;
             }
         }
         for (const HostEntry& entry : e.hosts) {
             update(entry);
         }
-        std::erase_if(hosts_,
-                      [](const auto& item) { return !item.second.listed && item.second.ownOpen == 0; });
+        std::erase_if(hosts_, [](const Host& host) { return !host.listed && host.ownOpen == 0; });
         probeDueHosts();
-        retryHeld();
+        retryHeld(true);
     }
 
     void update(const HostEntry& entry) {
-        const auto [at, isNew] = hosts_.try_emplace(entry.id);
-        Host& host = at->second;
+        const bool isNew = find(entry.id) == nullptr;
+        Host& host = hostFor(entry.id);
         const bool restarted = !isNew && host.entry.launched != entry.launched;
         if (restarted) {
             // A restart under the same id: what was known of the old process does not count.
@@ -251,7 +260,7 @@
     void probeDueHosts() {
         if (!s_.limits.probes) return;
         const std::optional<Micros> every = steadyInterval();
-        for (auto& [id, host] : hosts_) {
+        for (Host& host : hosts_) {
             if (!host.listed || host.probeOut) continue;
             // Departure, asking by need: a node that sees a small part of the traffic of a large fleet probes
             // steadily where it has connections, and the others when they lead a draw. Prevents that probes
@@ -315,7 +324,7 @@
             confirm(*host);
         }
         if (e.report) take(*host, *e.report);
-        retryHeld();
+        retryHeld(e.report.has_value());
     }
 
     // Maps a report to a utilisation: load over capacity where it is told, else busy cores, else how the
@@ -337,6 +346,7 @@
         host.reported = true;
         host.reportedAt = now_;
         std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kReportLag; });
+        changed_ = true;
         measureFleet();
         learnKnee(host);
         relieve(host);
@@ -345,6 +355,9 @@
     bool fresh(const Host& host) const { return host.reported && now_ - host.reportedAt < kFreshFor; }
 
     void measureFleet() {
+        if (!changed_ && measuredAt_ == now_) return;
+        changed_ = false;
+        measuredAt_ = now_;
         double sum = 0.0;
         double loads = 0.0;
         double own = 0.0;
@@ -353,9 +366,11 @@
         int ownOpen = 0;
         int count = 0;
         int listed = 0;
+        int unknown = 0;
+        open_ = 0.0;
         recentLoad_ = 0.0;
         recentCount_ = 0;
-        for (const auto& [id, host] : hosts_) {
+        for (const Host& host : hosts_) {
             if (!host.listed) continue;
             ++listed;
             for (const Placement& p : host.recent) {
@@ -365,7 +380,12 @@
             }
             const double shown = host.ownLoad - sentSince(host);  // the figures do not show the rest yet
             own += shown;
-            if (!fresh(host)) continue;
+            const bool usable = ready(host) && !unhealthy(host);
+            if (!fresh(host)) {
+                unknown += usable ? 1 : 0;
+                continue;
+            }
+            if (usable) open_ += open(host.utilisation) * warmth(host);
             sum += host.utilisation;
             loads += host.load;
             ownShown += shown;
@@ -374,10 +394,7 @@
             ++count;
         }
         meanUtilisation_ = count > 0 ? sum / count : kUnknownUtilisation;
-        open_ = 0.0;
-        for (const auto& [id, host] : hosts_) {
-            open_ += open(host);
-        }
+        open_ += unknown * open(meanUtilisation_);
         // What one unit of load adds to a host, over its capacity. The hosts' own counts tell how much there
         // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
         const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
@@ -392,7 +409,7 @@
     double crossingFactor() const {
         double sum = 0.0;
         int count = 0;
-        for (const auto& [id, host] : hosts_) {
+        for (const Host& host : hosts_) {
             if (!ready(host) || unhealthy(host) || host.entry.zone != s_.zone) continue;
             sum += utilisation(host);
             ++count;
@@ -417,11 +434,8 @@
 
     double stated(const Host& host) const { return fresh(host) ? host.utilisation : meanUtilisation_; }
 
-    // What a host draws of 100, as far as its figure leaves it room.
-    double open(const Host& host) const {
-        if (!ready(host) || unhealthy(host) || stated(host) >= kFull * knee_) return 0.0;
-        return (kFull - stated(host)) * warmth(host);
-    }
+    // What a host with such a figure draws of 100, as far as it has room.
+    double open(double utilisation) const { return utilisation >= kFull * knee_ ? 0.0 : kFull - utilisation; }
 
     // Departure, accounting between reports: what this node sent since the figure was taken is added to it,
     // and what the others will have sent: each about as much as this one, spread as the draw spreads it as
@@ -431,7 +445,7 @@
         if (open_ <= 0.0) return 0.0;
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
         const double rate = recentLoad_ / seconds(kRecent);
-        const double spread = rate * seconds(age + kReportLag) * open(host) / open_;
+        const double spread = rate * seconds(age + kReportLag) * open(stated(host)) * warmth(host) / open_;
         const double told = recentCount_ / (recentCount_ + static_cast<double>(s_.nodes));
         return (s_.nodes - 1.0) * (told * sentSince(host) + (1.0 - told) * spread);
     }
@@ -458,7 +472,7 @@
         // Departure, outlier ejection: a host that fails quickly keeps a low figure and would draw on and on.
         int readyHosts = 0;
         int ejectedHosts = 0;
-        for (const auto& [id, other] : hosts_) {
+        for (const Host& other : hosts_) {
             readyHosts += ready(other) ? 1 : 0;
             ejectedHosts += ready(other) && ejected(other) ? 1 : 0;
         }
@@ -509,6 +523,7 @@
 
     void on(const Arrived& e) {
         Request& r = requests_[e.request];
+        unopened_.insert(e.request);
         r.asked = e;
         r.arrivedAt = now_;
         r.deadline = now_ + e.patience;
@@ -526,7 +541,7 @@
         r.attempts = 1;
         r.host = e.host;
         r.open = true;
-        hosts_.try_emplace(e.host).first->second.entry.id = e.host;
+        hostFor(e.host);
         attach(r);
     }
 
@@ -594,50 +609,52 @@
 
     struct Candidate {
         Host* host;
-        double factor;  // on 100 minus the utilisation
-        double chance;  // of this request and host, in (0, 1)
+        double utilisation;
+        double race;  // -log of a chance in (0, 1), over the factors on the weight
+        bool askable;
+        int members;  // this node's connections of the request's group there
     };
 
     Host* choose(Request& r) {
         measureFleet();
+        r.waitsForFigure = false;
         std::vector<Candidate> candidates = candidatesFor(r, true);
         if (candidates.empty()) candidates = candidatesFor(r, false);
         if (candidates.empty()) return nullptr;
-        if (mayRefuse(r) && !admit(candidates, r)) return nullptr;
-        r.waitsForFigure = false;
-        if (Host* host = holder(candidates, r)) return host;
-        if (!r.waitsForFigure && !canAsk()) return drawn(candidates, r);
-        std::vector<Candidate> left = candidates;
-        Host* leader = r.waitsForFigure ? nullptr : ask(left, r);
-        if (leader != nullptr || r.waitsForFigure) return leader;
-        // All were silent, or nobody has room: the request is drawn as the figures stand, or held.
-        const bool silent = std::none_of(candidates.begin(), candidates.end(),
-                                         [this](const Candidate& c) { return fresh(*c.host); });
-        return silent || !mayRefuse(r) ? drawn(candidates, r) : nullptr;
-    }
-
-    // The draw as a race: of all hosts the one with the least -log(chance) / weight wins, which each does in
-    // proportion to its weight. A host that can still be asked could weigh up to 100; if it leads even so, it
-    // is asked first. So the draw is the same as with all figures at hand, for a few probes.
-    Host* ask(std::vector<Candidate>& candidates, Request& r) {
-        std::erase_if(candidates, [&](const Candidate& c) { return silent(*c.host, r); });
-        while (!candidates.empty()) {
-            const auto leader = lead(candidates, [&](const Host& host) {
-                return askable(host, r) ? kFull : kFull - utilisation(host);
-            });
-            if (leader == candidates.end()) return nullptr;
-            Host& host = *leader->host;
-            if (askable(host, r)) {
-                askFor(host, r);
-                return nullptr;
-            }
-            // Departure: a group spreads over as many hosts as one request asks, no further. Prevents that a
-            // busy fleet scatters its groups and so adds to its own load.
-            if (grouped(r) && !known(host) && mayRefuse(r)) return nullptr;
-            if (!mayRefuse(r) || !(busy() || grouped(r)) || !full(host, grouped(r))) return &host;
-            candidates.erase(leader);
+        // Departure, admission control: where no host has room nothing is drawn, and on a busy fleet only
+        // those that have room; the hosts of a group take a little more. Prevents that an overloaded fleet
+        // places everything and serves nobody within the message aim.
+        const double knee = kFull * knee_;
+        const double more = kFull * (knee_ + kHolderMore);
+        const auto room = [](const Candidate& c, double limit) { return c.askable || c.utilisation < limit; };
+        const auto open = [&](const Candidate& c) { return room(c, c.members > 0 ? more : knee); };
+        const bool choosy = mayRefuse(r);
+        if (choosy && std::none_of(candidates.begin(), candidates.end(), open)) return nullptr;
+        if (choosy && (busy() || grouped(r)))
+            std::erase_if(candidates, [&](const Candidate& c) { return !room(c, grouped(r) ? more : knee); });
+        Candidate& first = *leader(candidates);
+        if (first.askable) {
+            askFor(*first.host, r);
+            return nullptr;
         }
-        return nullptr;
+        // Departure: a group spreads over as many hosts as one request asks, no further. Prevents that a busy
+        // fleet scatters its groups and so adds to its own load.
+        const bool scatters = grouped(r) && choosy && r.probedFor.size() >= kAsks && !known(*first.host);
+        return scatters ? nullptr : first.host;
+    }
+
+    // The draw as a race: the host with the least -log(chance) / weight wins, which each does in proportion
+    // to its weight. A host that can still be asked could weigh up to 100; if it leads even so, it is asked
+    // first. So the draw is the same as with all figures at hand, for a few probes. Members of a group go
+    // where this node already has most of them. If all weights are zero, the draw is even.
+    static std::vector<Candidate>::iterator leader(std::vector<Candidate>& candidates) {
+        const auto rank = [](const Candidate& c) {
+            const double weight = c.askable ? kFull : kFull - c.utilisation;
+            return std::tuple(-c.members, weight > 0.0 ? 0 : 1, c.race / (weight > 0.0 ? weight : 1.0));
+        };
+        return std::min_element(
+            candidates.begin(), candidates.end(),
+            [&rank](const Candidate& a, const Candidate& b) { return rank(a) < rank(b); });
     }
 
     // Whether this request may still ask, or is waiting for, the host's figure.
@@ -651,10 +668,6 @@
         return std::find(r.probedFor.begin(), r.probedFor.end(), host.entry.id) != r.probedFor.end();
     }
 
-    bool silent(const Host& host, const Request& r) const {
-        return asked(host, r) && !known(host) && !askable(host, r);
-    }
-
     void askFor(Host& host, Request& r) {
         r.waitsForFigure = true;
         if (asked(host, r)) return;
@@ -663,85 +676,35 @@
         r.askedAt = now_;
     }
 
-    bool canAsk() const { return s_.limits.probes && s_.reportMode != ReportMode::None; }
-
     bool known(const Host& host) const {
-        return !canAsk() || (host.reported && now_ - host.reportedAt < kAskOlder);
-    }
-
-    // Members go where the node already has some: the host with most of them, while it has room.
-    Host* holder(const std::vector<Candidate>& candidates, Request& r) {
-        if (!grouped(r)) return nullptr;
-        Host* best = nullptr;
-        int most = 0;
-        for (const Candidate& c : candidates) {
-            const auto members = members_.find({r.asked.group, c.host->entry.id});
-            if (members == members_.end() || members->second <= most) continue;
-            if (known(*c.host) && full(*c.host, true)) continue;
-            best = c.host;
-            most = members->second;
-        }
-        if (best != nullptr && askable(*best, r)) {
-            askFor(*best, r);
-            return nullptr;
-        }
-        return best == nullptr || known(*best) ? best : nullptr;
-    }
-
-    Host* drawn(std::vector<Candidate>& candidates, const Request& r) {
-        if (mayRefuse(r) && busy()) {
-            std::erase_if(candidates, [&](const Candidate& c) { return full(*c.host, holds(*c.host, r)); });
-        }
-        auto winner = lead(candidates, [&](const Host& host) { return kFull - utilisation(host); });
-        // All weights are zero: draw evenly.
-        if (winner == candidates.end()) winner = lead(candidates, [](const Host&) { return 1.0; });
-        return winner == candidates.end() ? nullptr : winner->host;
-    }
-
-    template <class Weight>
-    std::vector<Candidate>::iterator lead(std::vector<Candidate>& candidates, Weight weight) const {
-        auto best = candidates.end();
-        double least = 0.0;
-        for (auto c = candidates.begin(); c != candidates.end(); ++c) {
-            const double w = weight(*c->host) * c->factor;
-            if (w <= 0.0) continue;
-            const double score = -std::log(c->chance) / w;
-            if (best != candidates.end() && score >= least) continue;
-            best = c;
-            least = score;
-        }
-        return best;
-    }
-
-    // Departure, admission control: where no host has room nothing is drawn, and on a busy fleet only those
-    // that have room. Prevents that an overloaded fleet places everything and serves nobody within the
-    // message aim.
-    bool admit(const std::vector<Candidate>& candidates, const Request& r) const {
-        return std::any_of(candidates.begin(), candidates.end(), [&](const Candidate& c) {
-            return askable(*c.host, r) || !full(*c.host, holds(*c.host, r));
-        });
-    }
-
-    bool full(const Host& host, bool holder) const {
-        return utilisation(host) >= kFull * (holder ? knee_ + kHolderMore : knee_);
+        const bool canAsk = s_.limits.probes && s_.reportMode != ReportMode::None;
+        return !canAsk || (host.reported && now_ - host.reportedAt < kAskOlder);
     }
 
     std::vector<Candidate> candidatesFor(const Request& r, bool strict) {
         const double crossing = grouped(r) ? 1.0 : crossingFactor();
-        const std::uint64_t key = drawKey(r);
+        const std::uint64_t key = mix(drawKey(r));
+        auto members = members_.lower_bound({r.asked.group, HostId{0}});
         std::vector<Candidate> result;
-        result.reserve(hosts_.size());
-        for (auto& [id, host] : hosts_) {
+        for (Host& host : hosts_) {
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !coldChance(r, host) || !mayGo(r, host))
                 continue;
+            const HostId id = host.entry.id;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
+            const bool open = askable(host, r);
+            if (strict && !open && !known(host) && asked(host, r)) continue;
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
             const double factor = host.trust * warmth(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
-            const auto number = static_cast<std::uint64_t>(id);
-            result.push_back({&host, factor, unitInterval(mix(mix(key) ^ mix(number + 1)))});
+            const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
+            while (members != members_.end() && members->first < std::pair(r.asked.group, id))
+                ++members;
+            const bool here =
+                grouped(r) && members != members_.end() && members->first == std::pair(r.asked.group, id);
+            result.push_back(
+                {&host, utilisation(host), -std::log(chance) / factor, open, here ? members->second : 0});
         }
         return result;
     }
@@ -756,16 +719,13 @@
         return r.draw;
     }
 
-    bool holds(const Host& host, const Request& r) const {
-        return grouped(r) && members_.contains({r.asked.group, host.entry.id});
-    }
-
     void send(RequestId id, Request& r, Host& host) {
         r.host = host.entry.id;
         r.sentAt = now_;
         r.out = true;
         ++r.attempts;
         host.recent.push_back({id, now_, r.load});
+        changed_ = true;
         spendCold(host, r.load);
         attach(r);
         act(Send{id, host.entry.id, timeoutFor(r)});
@@ -801,10 +761,10 @@
         if (!repeatable(r)) return false;
         const ClassSettings& cls = classOf(r);
         if (cls.group == RepeatGroup::All) return true;
-        const auto first = hosts_.find(r.firstRunHost);
-        if (first == hosts_.end()) return false;
-        if (cls.group == RepeatGroup::Zone) return first->second.entry.zone == host.entry.zone;
-        return first->second.entry.cell == host.entry.cell;
+        const Host* first = find(r.firstRunHost);
+        if (first == nullptr) return false;
+        if (cls.group == RepeatGroup::Zone) return first->entry.zone == host.entry.zone;
+        return first->entry.cell == host.entry.cell;
     }
 
     bool mayRefuse(const Request& r) const {
@@ -826,7 +786,7 @@
             act(Fail{id});
         }
         if (r.out) detach(r);
-        requests_.erase(id);
+        forget(id);
     }
 
     // ---- what becomes of requests ----
@@ -837,6 +797,7 @@
         Request& r = at->second;
         r.out = false;
         r.open = true;
+        unopened_.erase(e.request);
         setupUs_ += (static_cast<double>(e.waited.count()) - setupUs_) * kLoadStep;
         if (Host* host = find(e.host)) wentWell(*host);
     }
@@ -851,10 +812,11 @@
         detach(r);
         r.out = false;
         if (e.requestOver) {
-            requests_.erase(at);
+            forget(e.request);
             return;
         }
         r.open = false;
+        unopened_.insert(e.request);
         const bool ran =
             e.outcome != Outcome::Full && e.outcome != Outcome::ConnectFailed && e.outcome != Outcome::Moot;
         if (ran && !r.mayHaveRun) {
@@ -891,7 +853,7 @@
         if (at == requests_.end()) return;
         Request& r = at->second;
         if (r.out || r.open) detach(r);
-        requests_.erase(at);
+        forget(e.request);
     }
 
     void on(const LoadNote& e) {
@@ -924,27 +886,27 @@
         knee_ = std::clamp(knee_ + (late ? -kKneeDown : kKneeUp), kKneeLeast, kKneeMost);
     }
 
-    std::vector<RequestId> waiting(bool withAttempt) const {
-        std::vector<RequestId> result;
-        for (const auto& [id, r] : requests_) {
-            if (!r.open && (withAttempt || !r.out)) result.push_back(id);
-        }
-        return result;
-    }
-
     void endOverdue() {
-        for (const RequestId id : waiting(true)) {
+        for (const RequestId id : std::vector<RequestId>(unopened_.begin(), unopened_.end())) {
             Request& r = requests_.at(id);
             if (now_ >= lastMoment(r)) finish(id, r);
         }
     }
 
-    void retryHeld() {
-        for (const RequestId id : waiting(false)) {
-            place(id, requests_.at(id));
+    // Tries to place what is held: what waits for room at `all`, what waits for a figure once that is here.
+    void retryHeld(bool all) {
+        for (const RequestId id : std::vector<RequestId>(unopened_.begin(), unopened_.end())) {
+            Request& r = requests_.at(id);
+            if (!r.out && (r.waitsForFigure ? !awaited(r) : all)) place(id, r);
         }
     }
 
+    // Whether the figure that the request waits for may still come.
+    bool awaited(const Request& r) const {
+        const Host* host = find(r.probedFor.back());
+        return host != nullptr && askable(*host, r);
+    }
+
     // ---- moves ----
 
     // Departure: a host that reports more load than it can carry serves nobody well. This node moves its part
@@ -954,7 +916,7 @@
         double room = 0.0;
         int usable = 0;
         int told = 0;
-        for (const auto& [id, other] : hosts_) {
+        for (const Host& other : hosts_) {
             if (&other == &host || !ready(other) || unhealthy(other) || ejected(other)) continue;
             ++usable;
             if (!fresh(other)) continue;
@@ -987,19 +949,18 @@
     void move(RequestId id, const Request& r) {
         act(Move{id});
         detach(r);
-        requests_.erase(id);
+        forget(id);
     }
 
     // Departure: connections on a host that answers no probes, or that drains, are brought elsewhere in small
     // steps while others can take them. Prevents that they hang on a cut link, or break all at once when the
     // host stops.
     void evacuate() {
-        const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const auto& item) {
-            return ready(item.second) && !unhealthy(item.second) &&
-                   item.second.utilisation < kFull * (knee_ + kHolderMore);
+        const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const Host& host) {
+            return ready(host) && !unhealthy(host) && host.utilisation < kFull * (knee_ + kHolderMore);
         });
         if (!room) return;
-        for (auto& [id, host] : hosts_) {
+        for (Host& host : hosts_) {
             const bool draining = host.listed && host.entry.availability == Availability::Draining;
             const bool lost = host.listed && host.probeFailures > kProbeFailures;
             if (host.ownOpen == 0 || (!draining && !lost)) continue;
@@ -1009,9 +970,20 @@
 
     // ---- plumbing ----
 
-    Host* find(HostId id) {
-        const auto at = hosts_.find(id);
-        return at == hosts_.end() ? nullptr : &at->second;
+    static bool before(const Host& host, HostId id) { return host.entry.id < id; }
+
+    const Host* find(HostId id) const {
+        const auto at = std::lower_bound(hosts_.begin(), hosts_.end(), id, before);
+        return at == hosts_.end() || at->entry.id != id ? nullptr : &*at;
+    }
+    Host* find(HostId id) { return const_cast<Host*>(std::as_const(*this).find(id)); }
+
+    Host& hostFor(HostId id) {
+        if (Host* known = find(id)) return *known;
+        const auto at = std::lower_bound(hosts_.begin(), hosts_.end(), id, before);
+        Host host;
+        host.entry.id = id;
+        return *hosts_.insert(at, std::move(host));
     }
 
     template <class A>
@@ -1023,6 +995,8 @@
     Random random_;
     Micros tick_{kTick};
     Time now_{0};
+    bool changed_ = true;  // since the fleet was measured last
+    Time measuredAt_{0};
     double open_ = 0.0;        // what all hosts draw together, as far as they have room
     double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
     int recentCount_ = 0;
@@ -1032,8 +1006,9 @@
     Time rateAt_{0};
     std::vector<Action>* out_ = nullptr;
 
-    std::map<HostId, Host> hosts_;
+    std::vector<Host> hosts_;  // in the order of their ids
     Requests requests_;
+    std::set<RequestId> unopened_;                       // those that have no connection yet
     std::map<std::pair<GroupId, HostId>, int> members_;  // this node's connections of a group, by host
     std::vector<double> classLoad_;                      // mean load of a connection, by class
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
@@ -1042,6 +1017,7 @@
     double knee_ = kKneeFirst;                 // load over capacity at which messages begin to come late
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
+    Time hostsDue_{0};
     Time watchDue_{Time::max()};
     Micros watchBackoff_{0};
 };
