--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -67,6 +67,9 @@
 constexpr double kChance = 2.0;          // standard deviations: one count in forty is further off by chance
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
+constexpr TimerToken kHostTimer{0};
+constexpr TimerToken kRequestTimer{1};
+
 // ---- small helpers ----
 
 template <class... Ts>
@@ -167,6 +170,7 @@
         classLoad_.assign(s_.classes.size(), 0.0);
         tenantOpen_.assign(s_.tenants.size(), 0);
         tick_ = std::max(kTick, s_.resolution);
+        hostsEvery_ = std::max(kHostsEvery, s_.resolution);
     }
 
     void handle(Time now, const Event& event, std::vector<Action>& actions) override {
@@ -184,14 +188,18 @@
     void on(const Started&) {
         rateAt_ = now_;
         if (s_.listMode == ListMode::Ask) watch();
-        act(SetTimer{scaled(tick_, random_.next()) + Micros{1}, TimerToken{0}});
+        act(SetTimer{scaled(hostsEvery_, random_.next()) + Micros{1}, kHostTimer});
     }
 
-    void on(const TimerDue&) {
-        act(SetTimer{tick_, TimerToken{0}});
-        endOverdue();
-        if (now_ < hostsDue_) return retryHeld(false);
-        hostsDue_ = now_ + kHostsEvery;
+    // One timer for the hosts, and one for requests while there are some without a connection.
+    void on(const TimerDue& e) {
+        if (e.token == kRequestTimer) {
+            ticking_ = false;
+            endOverdue();
+            retryHeld(false);
+            return tick();
+        }
+        act(SetTimer{hostsEvery_, kHostTimer});
         // Without reports, what was sent long ago stands in no balance either.
         for (Host& host : hosts_) {
             std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kFreshFor; });
@@ -203,6 +211,12 @@
         evacuate();
     }
 
+    void tick() {
+        if (ticking_ || unopened_.empty()) return;
+        ticking_ = true;
+        act(SetTimer{tick_, kRequestTimer});
+    }
+
     void forget(RequestId id) {
         requests_.erase(id);
         unopened_.erase(id);
@@ -324,7 +338,7 @@
             confirm(*host);
         }
         if (e.report) take(*host, *e.report);
-        retryHeld(e.report.has_value());
+        retryHeld(e.report && host->utilisation < kFull * (knee_ + kHolderMore));
     }
 
     // Maps a report to a utilisation: load over capacity where it is told, else busy cores, else how the
@@ -531,6 +545,7 @@
         r.draw = random_.bits();
         countArrival(r.load);
         place(e.request, r);
+        tick();
     }
 
     void on(const AlreadyOpen& e) {
@@ -817,6 +832,7 @@
         }
         r.open = false;
         unopened_.insert(e.request);
+        tick();
         const bool ran =
             e.outcome != Outcome::Full && e.outcome != Outcome::ConnectFailed && e.outcome != Outcome::Moot;
         if (ran && !r.mayHaveRun) {
@@ -994,6 +1010,8 @@
     Settings s_;
     Random random_;
     Micros tick_{kTick};
+    Micros hostsEvery_{kHostsEvery};
+    bool ticking_ = false;  // the timer of the requests is set
     Time now_{0};
     bool changed_ = true;  // since the fleet was measured last
     Time measuredAt_{0};
@@ -1017,7 +1035,6 @@
     double knee_ = kKneeFirst;                 // load over capacity at which messages begin to come late
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
-    Time hostsDue_{0};
     Time watchDue_{Time::max()};
     Micros watchBackoff_{0};
 };
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -308,15 +308,15 @@
     Driver d = fleet(settings, 3, 0.5);
     for (int i = 0; i < 18; ++i) {
         d.establish(d.ask(0, 3200ms, 0, 0));  // 18 on one node of 3, where 10 are its share
+        d.pass(1s);
     }
-    d.pass(2s);
     EXPECT_NE(d.target(d.ask(0, 3200ms, 0, 0)), 0U) << "there is room: nobody is refused";
     for (std::uint64_t id = 1; id <= 3; ++id) {
         d.load(id, 0.7);
     }
     d.pass(5s);
-    EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 0)), 1);
-    EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 1)), 0);
+    EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 0)), 1) << "over its share";
+    EXPECT_EQ(d.refusals(d.ask(0, 3200ms, 0, 1)), 0) << "within its share";
 }
 
 TEST(Admission, ACountThatMayBeChanceHoldsNoTenantOverItsShare) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -87,8 +87,8 @@
     const Bytes reply = dispatcher.answer(
         frame(4000, {context(3), hex("03 27000000 c4913a5d613c0800 0000000000000000 00 0000 640ad2557c3bf091"
                                      "00000000 00000000 00d43000")}));
-    const Bytes head = hex("22000000 02000000 44 02000000 0300 46 12000000 c4913a5d613c0800 0a124a07 431f");
-    ASSERT_EQ(reply.size(), head.size() + 4);
+    const Bytes head = hex("2f000000 03000000 44 02000000 0300 46 12000000 c4913a5d613c0800 0a124a07 431f");
+    ASSERT_EQ(reply.size(), head.size() + 4 + 13) << "the attempt's time-out, and a timer for the request";
     EXPECT_EQ(Bytes(reply.begin(), reply.begin() + static_cast<std::ptrdiff_t>(head.size())), head);
 }
 
