--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,6 +31,7 @@
 constexpr double kRateFirst = 1.0;          // arrivals a second at a node, until some were seen
 constexpr Micros kAskOlder = 2s;            // a figure older than two of the draft's changes is asked anew
 constexpr Micros kAskPatience = 150ms;      // several round trips; a host that answers later is passed over
+constexpr std::size_t kGroupHosts = 4;      // that a group may meet on: more would pay for it over and over
 constexpr std::size_t kAsks = 4;            // hosts asked for one request: over nine in ten draws end before
 constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
 constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
@@ -631,7 +632,8 @@
     struct Candidate {
         Host* host;
         double utilisation;
-        double race;  // -log of a chance in (0, 1), over the factors on the weight
+        double race;    // -log of a chance in (0, 1)
+        double factor;  // on the weight
         bool askable;
         int members;  // this node's connections of the request's group there
     };
@@ -658,10 +660,7 @@
             askFor(*first.host, r);
             return nullptr;
         }
-        // Departure: a group spreads over as many hosts as one request asks, no further. Prevents that a busy
-        // fleet scatters its groups and so adds to its own load.
-        const bool scatters = grouped(r) && choosy && r.probedFor.size() >= kAsks && !known(*first.host);
-        return scatters ? nullptr : first.host;
+        return first.host;
     }
 
     // The draw as a race: the host with the least -log(chance) / weight wins, which each does in proportion
@@ -670,7 +669,7 @@
     // where this node already has most of them. If all weights are zero, the draw is even.
     static std::vector<Candidate>::iterator leader(std::vector<Candidate>& candidates) {
         const auto rank = [](const Candidate& c) {
-            const double weight = c.askable ? kFull : kFull - c.utilisation;
+            const double weight = (c.askable ? kFull : kFull - c.utilisation) * c.factor;
             return std::tuple(-c.members, weight > 0.0 ? 0 : 1, c.race / (weight > 0.0 ? weight : 1.0));
         };
         return std::min_element(
@@ -725,11 +724,26 @@
             const bool here =
                 grouped(r) && members != members_.end() && members->first == std::pair(r.asked.group, id);
             result.push_back(
-                {&host, utilisation(host), -std::log(chance) / factor, open, here ? members->second : 0});
+                {&host, utilisation(host), -std::log(chance), factor, open, here ? members->second : 0});
         }
+        if (strict && grouped(r)) keepGroupHosts(result);
         return result;
     }
 
+    // Departure: a group meets on a few hosts, the first in the race before any weight, and where this node
+    // has members. Prevents that nodes whose figures differ scatter a group over the fleet, where each host
+    // pays for it, and that a busy fleet so adds to its own load.
+    static void keepGroupHosts(std::vector<Candidate>& candidates) {
+        if (candidates.size() <= kGroupHosts) return;
+        std::vector<double> races;
+        for (const Candidate& c : candidates) {
+            races.push_back(c.race);
+        }
+        std::nth_element(races.begin(), races.begin() + kGroupHosts - 1, races.end());
+        const double last = races[kGroupHosts - 1];
+        std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.race > last; });
+    }
+
     // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
     // number is made from the group and the host (weighted rendezvous hashing). Over groups the shares stay
     // in proportion to the weights, while the members meet on one host at all nodes.
