--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -1,6 +1,8 @@
 // The departures and the rest of the behaviour, each against the failure that it prevents.
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "driver.hpp"
 
 namespace ivyreel::test {
@@ -360,6 +362,58 @@
     EXPECT_EQ(admitted(true), 0);
 }
 
+TEST(Accounting, OfManyNodesNotAllSendToTheOneHostWithRoom) {
+    // 60 nodes before 20 hosts of which one reports room for a tenth of its capacity, 10 connections: each
+    // node holds 16 of the fleet's 950, so 100 fill a host. Each gets a request, and another half a second
+    // later.
+    int sent = 0;
+    for (std::uint32_t node = 0; node < 60; ++node) {
+        Settings settings = usualSettings();
+        settings.nodes = 60;
+        settings.seed = 3000 + node;
+        Driver d = fleet(settings, 20, 0.45);
+        for (int i = 0; i < 16; ++i) {
+            const RequestId request = d.ask();
+            d.pass(1s);
+            d.establish(request);
+        }
+        for (std::uint64_t id = 1; id <= 20; ++id) {
+            d.load(id, id == 7 ? 0.65 : 0.80);
+        }
+        d.pass(6s);
+        const int before = d.sendsTo(7);
+        for (int i = 0; i < 4; ++i) {
+            d.ask();
+            d.pass(250ms);
+        }
+        sent += d.sendsTo(7) - before;
+    }
+    EXPECT_GT(sent, 10) << "its room is used";
+    EXPECT_LT(sent, 180) << "of 240 requests, all of which the figures alone would send there";
+}
+
+// ---- groups ----
+
+TEST(Groups, MeetOnFewHostsAtManyNodesThoughTheirFiguresDiffer) {
+    std::map<std::uint64_t, int> targets;
+    for (std::uint32_t node = 0; node < 100; ++node) {
+        Settings settings = usualSettings();
+        settings.nodes = 100;
+        settings.seed = 4000 + node;
+        settings.groupsShareWork = true;
+        std::vector<double> loads;
+        for (std::uint32_t i = 0; i < 40; ++i) {
+            loads.push_back(0.5 + 0.02 * ((node * 7 + i * 13) % 17));  // as old as each node saw it
+        }
+        Driver d = fleet(settings, loads);
+        const RequestId request = d.ask(99);
+        d.pass(100ms);
+        ++targets[d.target(request)];
+    }
+    EXPECT_EQ(targets.count(0), 0U);
+    EXPECT_LE(targets.size(), 4U);
+}
+
 // ---- zones ----
 
 double ownShare(double ownLoad) {
@@ -402,6 +456,27 @@
     EXPECT_EQ(d.count<Move>(), moved) << "a host that is relieved is left alone";
 }
 
+TEST(Moves, OfManyNodesWithOneConnectionEachComeToTheExcessTogether) {
+    // 300 nodes hold one connection each on a host at 1.0 of its capacity while no other has room: a quarter
+    // is over the knee.
+    int moved = 0;
+    for (std::uint32_t node = 0; node < 300; ++node) {
+        Settings settings = usualSettings();
+        settings.nodes = 300;
+        settings.seed = 2000 + node;
+        Driver d = fleet(settings, 2, 0.3);
+        Arrived request;
+        request.request = RequestId{5000};
+        d.give(AlreadyOpen{request, HostId{1}});
+        d.load(1, 1.0);
+        d.load(2, 1.0);
+        d.give(Probed{HostId{2}, Outcome::Ok, 1ms, loadOf(1.0)});
+        d.give(Probed{HostId{1}, Outcome::Ok, 1ms, loadOf(1.0)});
+        moved += d.count<Move>();
+    }
+    EXPECT_NEAR(moved, 75, 38) << "five standard deviations";
+}
+
 TEST(Moves, NothingMovesOnAQuietFleet) {
     Driver d = fleet(usualSettings(), 4, 0.6);
     for (int i = 0; i < 80; ++i) {
