--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -124,9 +124,9 @@
     double load = 0.0;    // load over capacity, unclamped
     double active = 0.0;  // requests held, where told
     // probes and health
-    Time probeDue{0};             // of the steady probes
     Time confirmAt{Time::max()};  // of a further one, while the host is in doubt
     Time probedAt{0};
+    double phase = 0.0;  // of the interval, until the next steady probe; 0 before the first
     bool probeOut = false;
     int probeFailures = 0;
     int attemptFailures = 0;
@@ -282,15 +282,14 @@
             // steadily where it has connections, and the others when they lead a draw. Prevents that probes
             // outnumber requests by hundreds and take the hosts' capacity.
             const bool steady = every || host.ownOpen > 0 || host.probeFailures > 0;
-            if (now_ >= host.confirmAt || (steady && now_ >= host.probeDue)) probe(host);
+            const Time due = host.probedAt + scaled(every.value_or(kProbeMost), host.phase);
+            if (now_ >= host.confirmAt || (steady && (host.phase == 0.0 || now_ >= due))) probe(host);
         }
     }
 
     void probe(Host& host) {
         act(Probe{host.entry.id});
-        const bool first = host.probeDue == Time{0};  // those that follow are in a phase of their own
-        host.probeDue =
-            now_ + scaled(steadyInterval().value_or(kProbeMost), first ? 0.5 + random_.next() : 1.0);
+        host.phase = host.phase == 0.0 ? 0.5 + random_.next() : 1.0;  // each host in a phase of its own
         host.confirmAt = Time::max();
         host.probedAt = now_;
         host.probeOut = true;
