--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,24 +48,25 @@
 constexpr double kKneeFirst = 0.75;         // load over capacity at which messages come late, until learned
 constexpr double kKneeLeast = 0.6;          // load over capacity: lower would waste a third of the fleet
 constexpr double kKneeMost = 0.9;           // load over capacity: figures are late by a swing or more
-constexpr double kKneeNear = 0.1;    // load over capacity: figures further off tell nothing of the knee
-constexpr double kKneeDown = 0.01;   // load over capacity, for a late figure near the knee
-constexpr double kKneeUp = 0.001;    // load over capacity, for a punctual one: rests at one late in eleven
-constexpr double kLateShare = 0.5;   // of the message aim: half of it in the mean leaves many beyond it
-constexpr double kHolderMore = 0.1;  // load over capacity: members cost less where others of a group are
-constexpr double kRelieveBeyond = 0.05;  // load over capacity: moves start this far above the knee
-constexpr double kCrossing = 0.3;        // on the weight of other zones' hosts while the own has room
-constexpr double kZoneEasy = 50;         // per cent: up to here the own zone is preferred in full
-constexpr double kColdSafety = 0.8;      // part of the cold budget used: a fifth is left for chance
-constexpr double kUsualLoad = 40'000;    // us of work a second: 25 connections a core, until one is seen
-constexpr double kLoadStep = 0.05;       // weight of one load note in the mean of a class
-constexpr double kLeastCapacity = 2e6;   // us of work a second: two cores, the smallest host to expect
-constexpr double kMostCapacity = 64e6;   // us of work a second: a node that just started sees little
-constexpr Micros kMoveSettle = 2s;       // a move shows in reports after the gap, a report and its lag
-constexpr double kEvacuateShare = 0.2;   // of a host's connections a pass: half a second for most
-constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
-constexpr double kBusyBelow = 0.1;       // load over capacity: a fleet is busy from this far under the knee
-constexpr double kChance = 2.0;          // standard deviations: one count in forty is further off by chance
+constexpr double kKneeNear = 0.1;       // load over capacity: figures further off tell nothing of the knee
+constexpr double kKneeDown = 0.01;      // load over capacity, for a late figure near the knee
+constexpr double kKneeUp = 0.001;       // load over capacity, for a punctual one: rests at one late in eleven
+constexpr double kLateShare = 0.5;      // of the message aim: half of it in the mean leaves many beyond it
+constexpr double kHolderMore = 0.1;     // load over capacity: a group's hosts take members so far above the
+                                        // knee, and moves, which cost a break, start only there
+constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
+constexpr double kCrossing = 0.3;       // on the weight of other zones' hosts while the own has room
+constexpr double kZoneEasy = 50;        // per cent: up to here the own zone is preferred in full
+constexpr double kColdSafety = 0.8;     // part of the cold budget used: a fifth is left for chance
+constexpr double kUsualLoad = 40'000;   // us of work a second: 25 connections a core, until one is seen
+constexpr double kLoadStep = 0.05;      // weight of one load note in the mean of a class
+constexpr double kLeastCapacity = 2e6;  // us of work a second: two cores, the smallest host to expect
+constexpr double kMostCapacity = 64e6;  // us of work a second: a node that just started sees little
+constexpr Micros kMoveSettle = 2s;      // a move shows in reports after the gap, a report and its lag
+constexpr double kEvacuateShare = 0.5;  // of a host's connections a pass: a third of a second for most
+constexpr double kHoldShare = 0.8;      // of the aim: how long a request waits for room before it is refused
+constexpr double kBusyBelow = 0.1;      // load over capacity: a fleet is busy from this far under the knee
+constexpr double kChance = 2.0;         // standard deviations: one count in forty is further off by chance
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
 constexpr TimerToken kHostTimer{0};
@@ -947,7 +948,7 @@
     // Departure: a host that reports more load than it can carry serves nobody well. This node moves its part
     // of the excess, in the order of the groups, as far as the others have room.
     void relieve(Host& host) {
-        if (host.load <= knee_ + kRelieveBeyond || now_ < host.moveNext || host.ownOpen == 0) return;
+        if (host.load <= knee_ + kHolderMore || now_ < host.moveNext || host.ownOpen == 0) return;
         double room = 0.0;
         int usable = 0;
         int told = 0;
@@ -956,10 +957,10 @@
             ++usable;
             if (!fresh(other)) continue;
             ++told;
-            room += std::max(0.0, knee_ - kRelieveBeyond - other.load) * warmth(other);
+            room += std::max(0.0, knee_ - kRelieveBelow - other.load) * warmth(other);
         }
         if (told > 0) room *= static_cast<double>(usable) / told;  // the others are taken to be like those
-        const double own = host.ownLoad * (host.load - knee_ + kRelieveBeyond) / host.load;
+        const double own = host.ownLoad * (host.load - knee_ + kRelieveBelow) / host.load;
         const double shed = host.ownLoad * (host.load - knee_) / host.load;
         moveOff(host, std::max(shed, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes))));
         host.moveNext = now_ + kMoveSettle;
