--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -501,6 +501,15 @@
 
     // ---- cold hosts ----
 
+    struct Candidate {
+        Host* host;
+        double utilisation;
+        double race;    // -log of a chance in (0, 1)
+        double factor;  // on the weight
+        bool askable;
+        int members;  // this node's connections of the request's group there
+    };
+
     double warmth(const Host& host) const {
         if (host.entry.launched == Time{0} || s_.rules.warmAfter <= Micros{0}) return 1.0;
         const double age = seconds(now_ - host.entry.launched) / seconds(s_.rules.warmAfter);
@@ -525,21 +534,33 @@
 
     // Departure, slow start among many nodes: where a node's part is less than one connection, a cold host
     // stays in the draw of a request by chance, so that in the mean all nodes together send what it stands;
-    // in a burst only the first requests of each node have that chance. Prevents that the sends of hundreds
-    // of nodes meet on a cold host, above all when clients come back all at once, and that it gets nothing at
-    // other times.
-    bool coldChance(const Request& r, const Host& host) const {
-        if (warmth(host) >= 1.0 || s_.nodes < 2) return true;
-        const double weight = (known(host) ? kFull - utilisation(host) : kFull) * host.trust * warmth(host);
-        const double all = std::max(1.0, kFull - meanUtilisation_) * static_cast<double>(hosts_.size());
-        const double others = (s_.nodes - 1.0) * std::min(1.0, weight / all) * std::max(1.0, r.load);
-        const double window = seconds(s_.rules.fall);
-        const double requests = others > 0.0 ? coldPerSecond(host) * window / others : 0.0;
+    // in a burst only the first requests of each node have that chance, and none that alone is more than it
+    // stands. Prevents that the sends of hundreds of nodes meet on a cold host, above all when clients come
+    // back all at once or when it is the only one with room, and that it gets nothing at other times.
+    bool coldChance(const Request& r, const Host& host, double share) const {
+        const double stands = coldPerSecond(host) * seconds(s_.rules.fall);
+        if (r.load > stands * kColdSafety) return false;
+        if (s_.nodes < 2) return true;
+        const double requests = kColdSafety * stands / ((s_.nodes - 1.0) * share * std::max(1.0, r.load));
         const auto id = static_cast<std::uint64_t>(host.entry.id);
         return r.inWindow <= std::max(r.usual, requests) &&
                unitInterval(mix(r.draw + mix(id))) * r.usual < requests;
     }
 
+    // Leaves the cold hosts out that must be spared. Their share is that of their weight among the hosts that
+    // have room, which on a busy fleet may be few.
+    void spareColdHosts(std::vector<Candidate>& candidates, const Request& r) const {
+        double all = 0.0;
+        for (const Candidate& c : candidates) {
+            if (c.utilisation < kFull * knee_) all += (kFull - c.utilisation) * c.factor;
+        }
+        std::erase_if(candidates, [&](const Candidate& c) {
+            if (warmth(*c.host) >= 1.0) return false;
+            const double weight = (kFull - (c.askable ? 0.0 : c.utilisation)) * c.factor;
+            return weight > 0.0 && !coldChance(r, *c.host, weight / std::max(all, weight));
+        });
+    }
+
     // ---- requests ----
 
     void on(const Arrived& e) {
@@ -629,15 +650,6 @@
                tenantOpen_[tenant] > part + kChance * std::sqrt(part);
     }
 
-    struct Candidate {
-        Host* host;
-        double utilisation;
-        double race;    // -log of a chance in (0, 1)
-        double factor;  // on the weight
-        bool askable;
-        int members;  // this node's connections of the request's group there
-    };
-
     Host* choose(Request& r) {
         measureFleet();
         r.waitsForFigure = false;
@@ -707,8 +719,7 @@
         auto members = members_.lower_bound({r.asked.group, HostId{0}});
         std::vector<Candidate> result;
         for (Host& host : hosts_) {
-            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !coldChance(r, host) || !mayGo(r, host))
-                continue;
+            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
             const HostId id = host.entry.id;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
@@ -726,6 +737,7 @@
             result.push_back(
                 {&host, utilisation(host), -std::log(chance), factor, open, here ? members->second : 0});
         }
+        spareColdHosts(result, r);
         if (strict && grouped(r)) keepGroupHosts(result);
         return result;
     }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -258,7 +258,7 @@
 
 // What 100 nodes send in 2 s to a cold host that stands about 7 a window, beside 19 warm ones at 0.5. Each
 // node holds 10 connections: 1,000 on 20 hosts at 0.5, so 100 fill one.
-int sentToACold(int requestsANode, Micros gap, std::uint64_t seed) {
+int sentToACold(int requestsANode, Micros gap, std::uint64_t seed, double others = 0.5) {
     int sent = 0;
     for (std::uint32_t node = 0; node < 100; ++node) {
         Settings settings = usualSettings();
@@ -278,6 +278,10 @@
             d.establish(request);
         }
         HostEntry cold = host(99);
+        for (std::uint64_t id = 1; id <= 19; ++id) {
+            d.load(id, others);
+        }
+        d.pass(6s);
         cold.launched = d.now();
         d.load(99, 0.0);
         d.list({cold}, ListKind::Delta);
@@ -308,6 +312,34 @@
     EXPECT_GE(sentToACold(4, 1s, 5000), 3);
 }
 
+TEST(ColdHosts, AHundredNodesThatHaveNoOtherHostWithRoomStayUnderTheBudgetTogether) {
+    int sent = 0;
+    for (std::uint64_t run = 0; run < 4; ++run) {
+        sent += sentToACold(12, 100ms, 1000 * (run + 1), 0.9);
+    }
+    EXPECT_LE(sent / 4, 25);
+}
+
+TEST(ColdHosts, ARequestThatAloneIsMoreThanTheBudgetWaitsUntilTheHostIsWarmer) {
+    Settings settings = usualSettings();
+    settings.nodes = 1;
+    Driver d{settings};
+    HostEntry cold = host(1);
+    cold.launched = d.now();
+    d.load(1, 0.0);
+    d.list({cold});
+    d.pass(2s);
+    Arrived heavy;
+    heavy.request = RequestId{1};
+    heavy.patience = 3200ms;
+    heavy.loadHint = 5e6;  // a host of two cores, the least to expect, has 2e6 in all
+    d.give(heavy);
+    d.pass(1s);
+    EXPECT_EQ(d.sends(RequestId{1}), 0);
+    EXPECT_EQ(d.finals(RequestId{1}), 1);
+    EXPECT_EQ(d.target(d.ask()), 1U) << "an ordinary one is taken";
+}
+
 TEST(ColdHosts, RetriesCountInTheBudget) {
     Settings settings = usualSettings();
     settings.rules.fallMultiple = 1.0;
