--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <tuple>
@@ -503,11 +504,12 @@
 
     struct Candidate {
         Host* host;
-        double utilisation;
-        double race;    // -log of a chance in (0, 1)
+        double chance;  // in (0, 1), of this request or group and this host
+        int members;    // this node's connections of the request's group there
+        double race;    // -log of the chance
         double factor;  // on the weight
+        double utilisation;
         bool askable;
-        int members;  // this node's connections of the request's group there
     };
 
     double warmth(const Host& host) const {
@@ -714,46 +716,58 @@
     }
 
     std::vector<Candidate> candidatesFor(const Request& r, bool strict) {
-        const double crossing = grouped(r) ? 1.0 : crossingFactor();
         const std::uint64_t key = mix(drawKey(r));
         auto members = members_.lower_bound({r.asked.group, HostId{0}});
         std::vector<Candidate> result;
+        bool anyCold = false;
         for (Host& host : hosts_) {
             if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
             const HostId id = host.entry.id;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
-            const bool open = askable(host, r);
-            if (strict && !open && !known(host) && asked(host, r)) continue;
-            // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
-            // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
-            // low figure.
-            const double factor = host.trust * warmth(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
-            const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
+            if (strict && asked(host, r) && !known(host) && !askable(host, r)) continue;  // it stayed silent
+            anyCold = anyCold || warmth(host) < 1.0;
             while (members != members_.end() && members->first < std::pair(r.asked.group, id))
                 ++members;
             const bool here =
                 grouped(r) && members != members_.end() && members->first == std::pair(r.asked.group, id);
-            result.push_back(
-                {&host, utilisation(host), -std::log(chance), factor, open, here ? members->second : 0});
+            const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
+            result.push_back({&host, chance, here ? members->second : 0, 0.0, 0.0, 0.0, false});
         }
-        spareColdHosts(result, r);
-        if (strict && grouped(r)) keepGroupHosts(result);
+        const bool few = strict && grouped(r);
+        if (few && !anyCold) keepGroupHosts(result);
+        weigh(result, r);
+        if (anyCold) spareColdHosts(result, r);
+        if (few && anyCold) keepGroupHosts(result);
         return result;
     }
 
+    void weigh(std::vector<Candidate>& candidates, const Request& r) const {
+        const double crossing = grouped(r) ? 1.0 : crossingFactor();
+        for (Candidate& c : candidates) {
+            const Host& host = *c.host;
+            // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
+            // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
+            // low figure.
+            c.factor = host.trust * warmth(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
+            c.race = -std::log(c.chance);
+            c.utilisation = utilisation(host);
+            c.askable = askable(host, r);
+        }
+    }
+
     // Departure: a group meets on a few hosts, the first in the race before any weight, and where this node
     // has members. Prevents that nodes whose figures differ scatter a group over the fleet, where each host
     // pays for it, and that a busy fleet so adds to its own load.
     static void keepGroupHosts(std::vector<Candidate>& candidates) {
         if (candidates.size() <= kGroupHosts) return;
-        std::vector<double> races;
+        std::vector<double> chances;
         for (const Candidate& c : candidates) {
-            races.push_back(c.race);
+            chances.push_back(c.chance);
         }
-        std::nth_element(races.begin(), races.begin() + kGroupHosts - 1, races.end());
-        const double last = races[kGroupHosts - 1];
-        std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.race > last; });
+        std::nth_element(chances.begin(), chances.begin() + kGroupHosts - 1, chances.end(), std::greater<>());
+        const double last = chances[kGroupHosts - 1];
+        std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.chance < last; });
     }
 
     // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
