--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,8 +56,8 @@
 constexpr double kHolderMore = 0.1;     // load over capacity: a group's hosts take members so far above the
                                         // knee, and moves, which cost a break, start only there
 constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
-constexpr double kCrossing = 0.3;       // on the weight of other zones' hosts while the own has room
-constexpr double kZoneEasy = 50;        // per cent: up to here the own zone is preferred in full
+constexpr double kCrossing = 0.2;       // on the weight of other zones' hosts while the own has room
+constexpr double kZoneEasy = 65;        // per cent: up to here the own zone is preferred in full
 constexpr double kColdSafety = 0.8;     // part of the cold budget used: a fifth is left for chance
 constexpr double kUsualLoad = 40'000;   // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;      // weight of one load note in the mean of a class
