--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -209,6 +209,7 @@
         for (Host& host : hosts_) {
             std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kFreshFor; });
         }
+        measureRoom();
         if (s_.listMode == ListMode::Ask && now_ >= watchDue_) watch();
         probeDueHosts();
         retryHeld(true);
@@ -549,18 +550,25 @@
                unitInterval(mix(r.draw + mix(id))) * r.usual < requests;
     }
 
-    // Leaves the cold hosts out that must be spared. Their share is that of their weight among the hosts that
-    // have room, which on a busy fleet may be few.
-    void spareColdHosts(std::vector<Candidate>& candidates, const Request& r) const {
-        double all = 0.0;
-        for (const Candidate& c : candidates) {
-            if (c.utilisation < kFull * knee_) all += (kFull - c.utilisation) * c.factor;
+    // A cold host's share is that of its weight among the hosts that have room: on a busy fleet they may be
+    // few.
+    bool spared(const Request& r, const Host& host) const {
+        if (warmth(host) >= 1.0) return false;
+        const double weight = roomIn(host, known(host) ? utilisation(host) : 0.0);
+        return weight > 0.0 && !coldChance(r, host, weight / std::max(withRoom_, weight));
+    }
+
+    double roomIn(const Host& host, double utilisation) const {
+        return (kFull - utilisation) * host.trust * warmth(host);
+    }
+
+    void measureRoom() {
+        withRoom_ = 0.0;
+        for (const Host& host : hosts_) {
+            if (!ready(host) || unhealthy(host)) continue;
+            const double used = utilisation(host);
+            if (used < kFull * knee_) withRoom_ += roomIn(host, used);
         }
-        std::erase_if(candidates, [&](const Candidate& c) {
-            if (warmth(*c.host) >= 1.0) return false;
-            const double weight = (kFull - (c.askable ? 0.0 : c.utilisation)) * c.factor;
-            return weight > 0.0 && !coldChance(r, *c.host, weight / std::max(all, weight));
-        });
     }
 
     // ---- requests ----
@@ -719,14 +727,13 @@
         const std::uint64_t key = mix(drawKey(r));
         auto members = members_.lower_bound({r.asked.group, HostId{0}});
         std::vector<Candidate> result;
-        bool anyCold = false;
         for (Host& host : hosts_) {
-            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host)) continue;
+            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host) || spared(r, host))
+                continue;
             const HostId id = host.entry.id;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
             if (strict && asked(host, r) && !known(host) && !askable(host, r)) continue;  // it stayed silent
-            anyCold = anyCold || warmth(host) < 1.0;
             while (members != members_.end() && members->first < std::pair(r.asked.group, id))
                 ++members;
             const bool here =
@@ -734,11 +741,8 @@
             const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
             result.push_back({&host, chance, here ? members->second : 0, 0.0, 0.0, 0.0, false});
         }
-        const bool few = strict && grouped(r);
-        if (few && !anyCold) keepGroupHosts(result);
+        if (strict && grouped(r)) keepGroupHosts(result);
         weigh(result, r);
-        if (anyCold) spareColdHosts(result, r);
-        if (few && anyCold) keepGroupHosts(result);
         return result;
     }
 
@@ -1061,6 +1065,7 @@
     Time now_{0};
     bool changed_ = true;  // since the fleet was measured last
     Time measuredAt_{0};
+    double withRoom_ = 0.0;    // weights of the hosts that have room, as of the last pass
     double open_ = 0.0;        // what all hosts draw together, as far as they have room
     double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
     int recentCount_ = 0;
