--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -544,7 +544,7 @@
         const double stands = coldPerSecond(host) * seconds(s_.rules.fall);
         if (r.load > stands * kColdSafety) return false;
         if (s_.nodes < 2) return true;
-        const double requests = kColdSafety * stands / ((s_.nodes - 1.0) * share * std::max(1.0, r.load));
+        const double requests = stands / ((s_.nodes - 1.0) * share * std::max(1.0, r.load));
         const auto id = static_cast<std::uint64_t>(host.entry.id);
         return r.inWindow <= std::max(r.usual, requests) &&
                unitInterval(mix(r.draw + mix(id))) * r.usual < requests;
