--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -566,7 +566,8 @@
         withRoom_ = 0.0;
         for (const Host& host : hosts_) {
             if (!ready(host) || unhealthy(host)) continue;
-            const double used = utilisation(host);
+            // As in the draw: a cold host that nobody asked yet may be idle.
+            const double used = known(host) || warmth(host) >= 1.0 ? utilisation(host) : 0.0;
             if (used < kFull * knee_) withRoom_ += roomIn(host, used);
         }
     }
