--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -399,12 +399,11 @@
             }
             const double shown = host.ownLoad - sentSince(host);  // the figures do not show the rest yet
             own += shown;
-            const bool usable = ready(host) && !unhealthy(host);
             if (!fresh(host)) {
-                unknown += usable ? 1 : 0;
+                unknown += usable(host) ? 1 : 0;
                 continue;
             }
-            if (usable) open_ += open(host.utilisation) * warmth(host);
+            if (usable(host)) open_ += open(host.utilisation) * warmth(host);
             sum += host.utilisation;
             loads += host.load;
             ownShown += shown;
@@ -429,7 +428,7 @@
         double sum = 0.0;
         int count = 0;
         for (const Host& host : hosts_) {
-            if (!ready(host) || unhealthy(host) || host.entry.zone != s_.zone) continue;
+            if (!usable(host) || host.entry.zone != s_.zone) continue;
             sum += utilisation(host);
             ++count;
         }
@@ -475,6 +474,7 @@
     bool ready(const Host& host) const {
         return host.listed && host.entry.availability == Availability::Ready;
     }
+    bool usable(const Host& host) const { return ready(host) && !unhealthy(host); }
     bool ejected(const Host& host) const { return now_ < host.ejectedUntil; }
 
     void wentWell(Host& host) {
@@ -503,16 +503,6 @@
 
     // ---- cold hosts ----
 
-    struct Candidate {
-        Host* host;
-        double chance;  // in (0, 1), of this request or group and this host
-        int members;    // this node's connections of the request's group there
-        double race;    // -log of the chance
-        double factor;  // on the weight
-        double utilisation;
-        bool askable;
-    };
-
     double warmth(const Host& host) const {
         if (host.entry.launched == Time{0} || s_.rules.warmAfter <= Micros{0}) return 1.0;
         const double age = seconds(now_ - host.entry.launched) / seconds(s_.rules.warmAfter);
@@ -565,7 +555,7 @@
     void measureRoom() {
         withRoom_ = 0.0;
         for (const Host& host : hosts_) {
-            if (!ready(host) || unhealthy(host)) continue;
+            if (!usable(host)) continue;
             // As in the draw: a cold host that nobody asked yet may be idle.
             const double used = known(host) || warmth(host) >= 1.0 ? utilisation(host) : 0.0;
             if (used < kFull * knee_) withRoom_ += roomIn(host, used);
@@ -661,6 +651,16 @@
                tenantOpen_[tenant] > part + kChance * std::sqrt(part);
     }
 
+    struct Candidate {
+        Host* host;
+        double chance;  // in (0, 1), of this request or group and this host
+        int members;    // this node's connections of the request's group there
+        double race;    // -log of the chance
+        double factor;  // on the weight
+        double utilisation;
+        bool askable;
+    };
+
     Host* choose(Request& r) {
         measureFleet();
         r.waitsForFigure = false;
@@ -729,8 +729,7 @@
         auto members = members_.lower_bound({r.asked.group, HostId{0}});
         std::vector<Candidate> result;
         for (Host& host : hosts_) {
-            if (!ready(host) || unhealthy(host) || !coldRoom(host) || !mayGo(r, host) || spared(r, host))
-                continue;
+            if (!usable(host) || !coldRoom(host) || !mayGo(r, host) || spared(r, host)) continue;
             const HostId id = host.entry.id;
             const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
             if (strict && (tried || ejected(host) || now_ < host.fullUntil)) continue;
@@ -981,16 +980,16 @@
     void relieve(Host& host) {
         if (host.load <= knee_ + kHolderMore || now_ < host.moveNext || host.ownOpen == 0) return;
         double room = 0.0;
-        int usable = 0;
+        int takers = 0;
         int told = 0;
         for (const Host& other : hosts_) {
-            if (&other == &host || !ready(other) || unhealthy(other) || ejected(other)) continue;
-            ++usable;
+            if (&other == &host || !usable(other) || ejected(other)) continue;
+            ++takers;
             if (!fresh(other)) continue;
             ++told;
             room += std::max(0.0, knee_ - kRelieveBelow - other.load) * warmth(other);
         }
-        if (told > 0) room *= static_cast<double>(usable) / told;  // the others are taken to be like those
+        if (told > 0) room *= static_cast<double>(takers) / told;  // the others are taken to be like those
         const double own = host.ownLoad * (host.load - knee_ + kRelieveBelow) / host.load;
         const double shed = host.ownLoad * (host.load - knee_) / host.load;
         moveOff(host, std::max(shed, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes))));
@@ -1024,7 +1023,7 @@
     // host stops.
     void evacuate() {
         const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const Host& host) {
-            return ready(host) && !unhealthy(host) && host.utilisation < kFull * (knee_ + kHolderMore);
+            return usable(host) && host.utilisation < kFull * (knee_ + kHolderMore);
         });
         if (!room) return;
         for (Host& host : hosts_) {
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -364,8 +364,7 @@
 
 TEST(Accounting, OfManyNodesNotAllSendToTheOneHostWithRoom) {
     // 60 nodes before 20 hosts of which one reports room for a tenth of its capacity, 10 connections: each
-    // node holds 16 of the fleet's 950, so 100 fill a host. Each gets a request, and another half a second
-    // later.
+    // node holds 16 of the fleet's 950, so 100 fill a host. Each gets four requests within a second.
     int sent = 0;
     for (std::uint32_t node = 0; node < 60; ++node) {
         Settings settings = usualSettings();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -320,15 +320,21 @@
     EXPECT_LE(sent / 4, 25);
 }
 
-TEST(ColdHosts, ARequestThatAloneIsMoreThanTheBudgetWaitsUntilTheHostIsWarmer) {
-    Settings settings = usualSettings();
-    settings.nodes = 1;
+// The only host, idle and two seconds after its start.
+Driver oneColdHost(const Settings& settings) {
     Driver d{settings};
     HostEntry cold = host(1);
     cold.launched = d.now();
     d.load(1, 0.0);
     d.list({cold});
     d.pass(2s);
+    return d;
+}
+
+TEST(ColdHosts, ARequestThatAloneIsMoreThanTheBudgetWaitsUntilTheHostIsWarmer) {
+    Settings settings = usualSettings();
+    settings.nodes = 1;
+    Driver d = oneColdHost(settings);
     Arrived heavy;
     heavy.request = RequestId{1};
     heavy.patience = 3200ms;
@@ -343,12 +349,7 @@
 TEST(ColdHosts, RetriesCountInTheBudget) {
     Settings settings = usualSettings();
     settings.rules.fallMultiple = 1.0;
-    Driver d{settings};
-    HostEntry cold = host(1);
-    cold.launched = d.now();
-    d.load(1, 0.0);
-    d.list({cold});
-    d.pass(2s);
+    Driver d = oneColdHost(settings);
     const int before = d.sendsTo(1);
     for (int i = 0; i < 20; ++i) {
         const RequestId request = d.ask();
