A stopping node moves its clients in the second half of its time

At fault: kDrainWithin and the start at kFrontNotices in Clients::drain. A client that stands is served until it is moved, so an early move gains nothing.

Now moves start at half of the time up to 0.5 s before SIGKILL and go on in even steps to its end.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -39,7 +39,6 @@
 constexpr Micros kLongestDeadline = 3s;        // SIGKILL comes no sooner than the longest deadline, cut to
 constexpr Micros kKilledAfter = 700ms;         // this, and so much more after SIGTERM
 constexpr Micros kDrainMargin = 500ms;         // between the last move and SIGKILL
-constexpr Micros kDrainWithin = 2s;            // longer would serve nobody
 constexpr Micros kDrainStep = 50ms;
 constexpr std::string_view kFailed = "ERR\r\n";
 
@@ -368,21 +367,21 @@
 }
 
 // The front goes on sending for a while: that is served, and moved with the rest. All are moved in even steps
-// within the time that a node has at the least before it is killed.
+// in the second half of the time that a node has at the least before it is killed: they are served meanwhile, and
+// where nodes restart one after another, the one before has come back by then.
 Task<void> Clients::drain() {
     serving_ = false;
     Signal pause{scheduler_};
     const Time start = scheduler_.now();
     const Micros mayTake = std::min(facade_.longestPatience(), kLongestDeadline) + kKilledAfter;
     const Time answered = start + std::max(mayTake - kDrainMargin, kFrontNotices + kDrainStep);
-    const Time end = std::min(answered, start + kDrainWithin);
-    co_await pause.wait(start + kFrontNotices);
+    co_await pause.wait(start + std::max(kFrontNotices, (answered - start) / 2));
     while (requests_ > 0) {
         const Time now = scheduler_.now();
         std::vector<Exchange*> left;
         std::copy_if(standing_.begin(), standing_.end(), std::back_inserter(left),
                      [](const Exchange* exchange) { return !exchange->leave; });
-        const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, (end - now) / kDrainStep));
+        const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, (answered - now) / kDrainStep));
         left.resize((left.size() + steps - 1) / steps);
         for (Exchange* exchange : left) {
             exchange->leave = true;
