Charge a slow host by what it carries, not by what a usual one would

Now a host has a strain: its load over capacity against what its connections would cost a usual host, learned from each report; from 1.3 on the draw, the accounting and the room divide by it.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,6 +42,10 @@
 constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
 constexpr double kTrustStep = 0.2;          // weight of one attempt in a host's success share: ~5 count
 constexpr double kTrustHealing = 0.1;       // weight of an answered probe: back to half trust in ~7 s
+constexpr double kStrainStep = 0.4;         // weight of one report in a host's strain: two or three tell
+constexpr double kStrainLeast = 1.3;        // figures of usual hosts differ by less
+constexpr double kStrainMost = 10.0;        // a tenth of the usual: less is idle
+constexpr double kStrainPrior = 0.15;       // load over capacity: so little tells nothing of the strain
 constexpr double kTrustLeast = 0.05;        // a trickle, so that recovery is noticed
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
@@ -125,6 +129,7 @@
     int utilisation = 0;  // 0 to 100
     double load = 0.0;    // load over capacity, unclamped
     double active = 0.0;  // requests held, where told
+    double strain = 1.0;  // load over capacity against what a usual host would show for the same
     // probes and health
     Time confirmAt{Time::max()};  // of a further one, while the host is in doubt
     Time probedAt{0};
@@ -368,6 +373,7 @@
         changed_ = true;
         measureFleet();
         learnKnee(host);
+        learnStrain(host);
         relieve(host);
     }
 
@@ -403,7 +409,7 @@
                 unknown += usable(host) ? 1 : 0;
                 continue;
             }
-            if (usable(host)) open_ += open(host.utilisation) * warmth(host);
+            if (usable(host)) open_ += open(host.utilisation) * carries(host);
             sum += host.utilisation;
             loads += host.load;
             ownShown += shown;
@@ -447,7 +453,7 @@
 
     double utilisation(const Host& host) const {
         const double sent = sentSince(host) + sentByOthers(host);
-        return std::min(kFull, stated(host) + kFull * sent * loadShare_ / warmth(host));
+        return std::min(kFull, stated(host) + kFull * sent * loadShare_ / carries(host));
     }
 
     double stated(const Host& host) const { return fresh(host) ? host.utilisation : meanUtilisation_; }
@@ -463,7 +469,7 @@
         if (open_ <= 0.0) return 0.0;
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
         const double rate = recentLoad_ / seconds(kRecent);
-        const double spread = rate * seconds(age + kReportLag) * open(stated(host)) * warmth(host) / open_;
+        const double spread = rate * seconds(age + kReportLag) * open(stated(host)) * carries(host) / open_;
         const double told = recentCount_ / (recentCount_ + static_cast<double>(s_.nodes));
         return (s_.nodes - 1.0) * (told * sentSince(host) + (1.0 - told) * spread);
     }
@@ -509,6 +515,23 @@
         return std::clamp(s_.rules.coldShare + (1.0 - s_.rules.coldShare) * age, s_.rules.coldShare, 1.0);
     }
 
+    // What a host carries of what a usual one does.
+    double carries(const Host& host) const {
+        return warmth(host) / (host.strain < kStrainLeast ? 1.0 : host.strain);
+    }
+
+    // Departure, slow hosts: one whose figure stands far above what its connections would cost a usual host
+    // draws, and is charged, by what it carries. Prevents that it is overfilled and emptied by turns.
+    void learnStrain(Host& host) {
+        const double open = host.ownOpen - static_cast<double>(host.recent.size());
+        if (open <= 0) return;
+        const double shown = host.ownLoad - sentSince(host);
+        const double all = host.active > 0 ? host.active * shown / open : shown * s_.nodes;
+        const double usual = all * loadShare_ / warmth(host);
+        const double ratio = (host.load + kStrainPrior) / (usual + kStrainPrior);
+        host.strain += (std::clamp(ratio, 1.0, kStrainMost) - host.strain) * kStrainStep;
+    }
+
     bool coldRoom(const Host& host) const { return warmth(host) >= 1.0 || now_ >= host.coldNext; }
 
     // What a cold host stands a second, with a margin: what fills it over its warm-up, times the multiple.
@@ -549,7 +572,7 @@
     }
 
     double roomIn(const Host& host, double utilisation) const {
-        return (kFull - utilisation) * host.trust * warmth(host);
+        return (kFull - utilisation) * host.trust * carries(host);
     }
 
     void measureRoom() {
@@ -753,7 +776,7 @@
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
-            c.factor = host.trust * warmth(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
+            c.factor = host.trust * carries(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
             c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
             c.askable = askable(host, r);
@@ -987,7 +1010,7 @@
             ++takers;
             if (!fresh(other)) continue;
             ++told;
-            room += std::max(0.0, knee_ - kRelieveBelow - other.load) * warmth(other);
+            room += std::max(0.0, knee_ - kRelieveBelow - other.load) * carries(other);
         }
         if (told > 0) room *= static_cast<double>(takers) / told;  // the others are taken to be like those
         const double own = host.ownLoad * (host.load - knee_ + kRelieveBelow) / host.load;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -362,6 +362,25 @@
     EXPECT_EQ(admitted(true), 0);
 }
 
+// Each host has its quarter of the connections; one shows four times the load for it.
+TEST(Accounting, AHostThatCarriesAQuarterDrawsLessThanItsFigureSays) {
+    Settings settings = usualSettings();
+    settings.nodes = 1;
+    Driver d = fleet(settings, 4, 0.15);
+    d.pass(2s);
+    for (int i = 0; i < 60; ++i) {
+        d.establish(d.ask());
+        d.pass(20ms);
+    }
+    d.load(1, 0.6);
+    d.pass(6s);
+    const int before = d.sendsTo(1);
+    d.serve(200);
+    // By its figure alone, (100 - 60) to 3 * (100 - 15), it would draw 27.
+    EXPECT_LT(d.sendsTo(1) - before, 16);
+    EXPECT_GT(d.sendsTo(1) - before, 0) << "so that its recovery is noticed";
+}
+
 TEST(Accounting, OfManyNodesNotAllSendToTheOneHostWithRoom) {
     // 60 nodes before 20 hosts of which one reports room for a tenth of its capacity, 10 connections: each
     // node holds 16 of the fleet's 950, so 100 fill a host. Each gets four requests within a second.
