Relieve slow hosts further and at each report; a wait lets the others have their turn

Now a slow host (strain 1.3 or more) is relieved to half the knee and again at the next report; the knee starts at 0.85 where no groups share work (their hosts take members 0.1 above it: both start at 0.85).

Also seen by reading: Signal::Wait::await_ready returned true when raised, so that a coroutine which raises its own signal (relay, accept, openings, goodbyes) never gave way, against what scheduler.hpp says. A wait now always goes through the ready queue. Requests refused for want of descriptors are told when to come back.

--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -156,6 +156,11 @@
     bool knowsClass(std::string_view name) const;
     // The longest time that any class's clients wait.
     Micros longestPatience() const;
+    // When a client that the node itself turns away should come back; 0: not to be told.
+    Micros comeBackAfter() const {
+        const Limits& limits = settings_.settings.limits;
+        return limits.retryAfter ? limits.maxRetryAfter / 2 : Micros{0};
+    }
     bool wantsLoad() const { return settings_.settings.reportMode != ReportMode::None; }
     Micros connectTimeout() const { return settings_.settings.limits.connectTimeout; }
     Micros idleAfter() const { return settings_.idleAfter; }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -174,7 +174,7 @@
                 co_await takeUp(exchange, *opening);
             } else if (crowded()) {
                 ++counters_.crowded;
-                co_await refuse(exchange, Micros{0});
+                co_await refuse(exchange, facade_.comeBackAfter());
             } else {
                 co_await place(exchange, *opening);
             }
@@ -367,8 +367,8 @@
 }
 
 // The front goes on sending for a while: that is served, and moved with the rest. All are moved in even steps
-// in the second half of the time that a node has at the least before it is killed: they are served meanwhile, and
-// where nodes restart one after another, the one before has come back by then.
+// in the second half of the time that a node has at the least before it is killed: they are served meanwhile,
+// and where nodes restart one after another, the one before has come back by then.
 Task<void> Clients::drain() {
     serving_ = false;
     Signal pause{scheduler_};
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -142,6 +142,7 @@
         if (more) x_.signal.raise();
         if (bad_) {
             ++counters_.badInput;
+            ++counters_.badLength;
             facade_.connectionEnded(ticket_, Outcome::Cancelled, std::nullopt);
             co_return co_await move();
         }
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -153,11 +153,8 @@
     scheduler_.timers_.erase(timer_);
 }
 
-bool Signal::Wait::await_ready() {
-    return signal_.raised_;
-}
-
 void Signal::Wait::await_suspend(std::coroutine_handle<> waiting) {
+    if (signal_.raised_) return signal_.scheduler_.post(waiting);  // after all that are ready already
     signal_.waiting_ = waiting;
     if (until_ == kNever) return;
     signal_.timer_ = signal_.scheduler_.timers_.emplace(until_, &signal_);
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -89,7 +89,7 @@
     class Wait {
       public:
         Wait(Signal& signal, Time until) : signal_(signal), until_(until) {}
-        bool await_ready();
+        bool await_ready() const { return false; }
         void await_suspend(std::coroutine_handle<> waiting);
         void await_resume() { signal_.raised_ = false; }
 
@@ -98,7 +98,7 @@
         Time until_;
     };
 
-    // Resumes once raised, or when that time has come.
+    // Resumes once raised, or when that time has come; never at once, so that the others have their turn.
     Wait wait(Time until = kNever) { return {*this, until}; }
 
     Scheduler& scheduler() const { return scheduler_; }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -60,6 +60,7 @@
 constexpr double kHolderMore = 0.1;     // load over capacity: a group's hosts take members so far above the
                                         // knee, and moves, which cost a break, start only there
 constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
+constexpr double kSlowKeeps = 0.5;      // of the knee: a slow host is relieved to so much, it may get slower
 constexpr double kCrossing = 0.2;       // on the weight of other zones' hosts while the own has room
 constexpr double kZoneEasy = 65;        // per cent: up to here the own zone is preferred in full
 constexpr double kColdSafety = 0.8;     // part of the cold budget used: a fifth is left for chance
@@ -79,13 +80,6 @@
 
 // ---- small helpers ----
 
-template <class... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-template <class... Ts>
-Overloaded(Ts...) -> Overloaded<Ts...>;
-
 std::uint64_t mix(std::uint64_t x) {  // the finaliser of splitmix64
     x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
     x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
@@ -181,6 +175,8 @@
         tenantOpen_.assign(s_.tenants.size(), 0);
         tick_ = std::max(kTick, s_.resolution);
         hostsEvery_ = std::max(kHostsEvery, s_.resolution);
+        // A group's hosts take members above the knee: it starts that much lower.
+        if (!s_.groupsShareWork) knee_ += kHolderMore;
     }
 
     void handle(Time now, const Event& event, std::vector<Action>& actions) override {
@@ -516,15 +512,14 @@
     }
 
     // What a host carries of what a usual one does.
-    double carries(const Host& host) const {
-        return warmth(host) / (host.strain < kStrainLeast ? 1.0 : host.strain);
-    }
+    double carries(const Host& host) const { return warmth(host) / (slow(host) ? host.strain : 1.0); }
+    bool slow(const Host& host) const { return host.strain >= kStrainLeast; }
 
     // Departure, slow hosts: one whose figure stands far above what its connections would cost a usual host
     // draws, and is charged, by what it carries. Prevents that it is overfilled and emptied by turns.
     void learnStrain(Host& host) {
         const double open = host.ownOpen - static_cast<double>(host.recent.size());
-        if (open <= 0) return;
+        if (open <= 0 || s_.groupsShareWork) return;  // what members add depends on who is there
         const double shown = host.ownLoad - sentSince(host);
         const double all = host.active > 0 ? host.active * shown / open : shown * s_.nodes;
         const double usual = all * loadShare_ / warmth(host);
@@ -1013,10 +1008,11 @@
             room += std::max(0.0, knee_ - kRelieveBelow - other.load) * carries(other);
         }
         if (told > 0) room *= static_cast<double>(takers) / told;  // the others are taken to be like those
-        const double own = host.ownLoad * (host.load - knee_ + kRelieveBelow) / host.load;
+        const double rest = slow(host) ? knee_ * kSlowKeeps : knee_ - kRelieveBelow;
+        const double own = host.ownLoad * (host.load - rest) / host.load;
         const double shed = host.ownLoad * (host.load - knee_) / host.load;
         moveOff(host, std::max(shed, std::min(own, room / loadShare_ / static_cast<double>(s_.nodes))));
-        host.moveNext = now_ + kMoveSettle;
+        host.moveNext = now_ + (slow(host) ? kReportLag : kMoveSettle);
     }
 
     void moveOff(const Host& host, double load) {
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -94,6 +94,29 @@
     EXPECT_EQ(order, std::vector{1});
 }
 
+// Raises its own signal before each wait, as one does that has more to read.
+Task<void> restless(Signal& signal, int& turns, int most) {
+    while (turns < most) {
+        ++turns;
+        signal.raise();
+        co_await signal.wait();
+    }
+}
+
+TEST(Scheduler, OneThatRaisesItsOwnSignalLetsTheOthersHaveTheirTurn) {
+    Scheduler scheduler;
+    Signal first{scheduler};
+    Signal second{scheduler};
+    int turns = 0;
+    int others = 0;
+    scheduler.spawn(restless(first, turns, 1000));
+    scheduler.spawn(restless(second, others, 10));
+    scheduler.spawn(stopLater(scheduler, 10));
+    scheduler.run();
+    EXPECT_EQ(others, 10);
+    EXPECT_LT(turns, 20) << "one turn in each round";
+}
+
 Task<void> holding(std::shared_ptr<int> held, Signal& signal) {
     co_await signal.wait();
     ++*held;
