Say what is owed before a yielded connection closes; a request that opened has not yielded

Seen by reading the whole change: a connection marked to yield whose opening line had already arrived went on as a request with the mark, and sayGoodbye (hosts.cpp, its loop's condition) then closed without sending BUSY, ERR or MOVE. The mark is cleared where the request begins, and the line goes out before the mark is obeyed. A PING that waits for a node which stops no longer waits past its 2 s or its yielding (clients.cpp, opening).

The test fails without the change.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -23,11 +23,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr Micros kOpeningWithin = 2s;    // the opening line comes with the connection; the front asks once
-constexpr Micros kMayYieldAfter = 10ms;  // what came with the connection has been read by then
-constexpr std::size_t kUnopenedPart =
-    6;                             // of all descriptors, one in so many is for connections without a request
-constexpr int kLinesPerTurn = 16;  // of one connection, before the others have their turn
+constexpr Micros kOpeningWithin = 2s;     // the opening line comes with the connection; the front asks once
+constexpr Micros kMayYieldAfter = 10ms;   // what came with the connection has been read by then
+constexpr std::size_t kUnopenedPart = 6;  // one descriptor in so many: for connections without a request
+constexpr int kLinesPerTurn = 16;         // of one connection, before the others have their turn
 constexpr double kLongestPatienceMs = 86'400'000;  // a day: no client waits for longer
 constexpr Micros kReadyPoll = 20ms;                // until the node serves, a PING waits
 constexpr Micros kTakeUpFor = 35s;                 // how long a connection from before the start is tried
@@ -167,6 +166,7 @@
         const std::optional<Opening> opening = co_await this->opening(exchange);
         if (opening) {
             unopened.reset();
+            exchange.yielded = false;  // its line was here by then: it is a request now
             ++counters_.requests;
             const Held held{requests_};
             const OpenId id{*this, opening->id()};
@@ -221,10 +221,11 @@
                 co_await exchange.signal.wait();
             }
             client.in.drop(line->bytes);
-            while (!serving_ && !client.over()) {
+            while (!serving_ && !client.over() && !exchange.yielded && scheduler_.now() < until) {
                 co_await exchange.signal.wait(scheduler_.now() + kReadyPoll);
                 client.fill();
             }
+            if (!serving_) break;
             std::size_t sent = 0;
             client.send("PONG\r\n", sent);
             ++counters_.pings;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -281,14 +281,14 @@
     std::size_t sent = 0;
     bool finished = false;
     std::size_t discarded = 0;
-    while (!client.broken && !exchange.yielded && scheduler.now() < until) {
+    while (!client.broken && scheduler.now() < until) {
         client.send(line, sent);
         if (sent == line.size() && !std::exchange(finished, true)) client.socket.finishSending();
         discarded += client.in.size();
         client.in.drop(client.in.size());
         // There may be more; the others have their turn first.
         if (discarded < kMostDiscarded && client.fill()) exchange.signal.raise();
-        if (finished && client.over()) break;
+        if (exchange.yielded || (finished && client.over())) break;
         co_await exchange.signal.wait(until);
     }
     client.socket.close();
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -126,6 +126,26 @@
     EXPECT_EQ(result->kind, AttemptResult::Kind::Up);
 }
 
+// Its place is wanted by another, but what it is owed goes out first.
+TEST(Goodbye, SaysItsLineBeforeItYields) {
+    Fixture f;
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()), 0);
+    f.clientsEnd = ends[1];
+    Exchange exchange{f.scheduler, ends[0]};
+    exchange.yielded = true;
+    f.scheduler.spawn([](Exchange& one, Scheduler& scheduler) -> Task<void> {
+        co_await sayGoodbye(one, "ERR\r\n");
+        scheduler.stop();
+    }(exchange, f.scheduler));
+    f.scheduler.run();
+    std::array<char, 16> got{};
+    EXPECT_EQ(::recv(f.clientsEnd, got.data(), got.size(), 0), 5);
+    EXPECT_EQ(std::string(got.data(), 5), "ERR\r\n");
+    EXPECT_EQ(::recv(f.clientsEnd, got.data(), got.size(), 0), 0)
+        << "and it is closed, the client still open";
+}
+
 TEST(Attempt, AtAHostWithoutAnAddressCouldNotConnect) {
     Fixture f;
     std::optional<AttemptResult> result;
