Reject the id of a request that ended lately as well

The hosts end each at once, the module tries it at all five and holds that against them. Ids are new with every connection, so one is kept for 10 s after its end, 4,096 of them at most.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -26,6 +26,8 @@
 constexpr Micros kOpeningWithin = 2s;     // the opening line comes with the connection; the front asks once
 constexpr Micros kMayYieldAfter = 10ms;   // what came with the connection has been read by then
 constexpr std::size_t kUnopenedPart = 6;  // one descriptor in so many: for connections without a request
+constexpr Micros kIdKept = 10s;           // after its request's end: who copies an id may come that late
+constexpr std::size_t kMostIds = 4096;    // of ended requests
 constexpr int kLinesPerTurn = 16;         // of one connection, before the others have their turn
 constexpr double kLongestPatienceMs = 86'400'000;  // a day: no client waits for longer
 constexpr Micros kReadyPoll = 20ms;                // until the node serves, a PING waits
@@ -146,16 +148,17 @@
     std::size_t& count_;
 };
 
-// Keeps the id of a request for as long as that is open.
+// Keeps the id of a request for as long as that is open, and a while longer: ids are new with every
+// connection.
 class Clients::OpenId {
   public:
-    OpenId(Clients& clients, std::uint64_t id) : all_(clients.open_), id_(id) { all_.insert(id); }
+    OpenId(Clients& clients, std::uint64_t id) : clients_(clients), id_(id) { clients_.ids_.insert(id); }
     OpenId(const OpenId&) = delete;
     OpenId& operator=(const OpenId&) = delete;
-    ~OpenId() { all_.erase(id_); }
+    ~OpenId() { clients_.endedIds_.emplace_back(clients_.scheduler_.now(), id_); }
 
   private:
-    std::unordered_set<std::uint64_t>& all_;
+    Clients& clients_;
     std::uint64_t id_;
 };
 
@@ -184,6 +187,14 @@
     }
 }
 
+void Clients::forgetIds() {
+    const Time before = scheduler_.now() - kIdKept;
+    while (!endedIds_.empty() && (endedIds_.front().first < before || endedIds_.size() > kMostIds)) {
+        ids_.erase(endedIds_.front().second);
+        endedIds_.pop_front();
+    }
+}
+
 // What is wrong with an opening line that can be read, by its counter; none if nothing is.
 std::uint64_t* Clients::fault(const Opening& opening) {
     const auto bad = [&opening](std::string_view name, double most) {
@@ -194,7 +205,8 @@
     if ((opening.value("at").empty() && bad("d", kLongestPatienceMs)) ||
         (opening.has("h") && bad("h", std::numeric_limits<double>::max())))
         return &counters_.badNumber;
-    return open_.contains(opening.id()) ? &counters_.badId : nullptr;
+    forgetIds();
+    return ids_.contains(opening.id()) ? &counters_.badId : nullptr;
 }
 
 // The opening line of a sound request. Otherwise none, and the connection is done with: it has its answer, or
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -3,11 +3,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <memory>
 #include <set>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "facade/facade.hpp"
 #include "net/counters.hpp"
@@ -47,6 +49,7 @@
     Task<void> fail(Exchange& exchange);
     Task<void> reject(Exchange& exchange, std::uint64_t& cause);
     std::uint64_t* fault(const Opening& opening);
+    void forgetIds();
     std::size_t mostUnopened() const;
     Time makeRoom();
     bool crowded() const;
@@ -59,11 +62,12 @@
     Signal signal_;
     Socket listener_;
     bool serving_ = false;
-    std::list<Unopened*> unopened_;           // connections without a request, the oldest first
-    std::unordered_set<std::uint64_t> open_;  // ids of the requests in progress or up
-    std::size_t requests_ = 0;                // in progress or up
-    std::set<Ticket*> placing_;               // requests without a final answer
-    std::set<Exchange*> standing_;            // connections that are up
+    std::list<Unopened*> unopened_;          // connections without a request, the oldest first
+    std::unordered_set<std::uint64_t> ids_;  // of the requests in progress or up, and of those lately ended
+    std::deque<std::pair<Time, std::uint64_t>> endedIds_;  // the latter, with their ends
+    std::size_t requests_ = 0;                             // in progress or up
+    std::set<Ticket*> placing_;                            // requests without a final answer
+    std::set<Exchange*> standing_;                         // connections that are up
 };
 
 }  // namespace ivyreel::net
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -18,7 +18,7 @@
     std::uint64_t badLength = 0;       //   a line without end
     std::uint64_t badClass = 0;        //   a class that the settings do not name
     std::uint64_t badNumber = 0;       //   a number that is none, or out of range
-    std::uint64_t badId = 0;           //   the id of a request that is open
+    std::uint64_t badId = 0;           //   the id of a request that is open or was lately
     std::uint64_t badEarly = 0;        //   more than the opening line before UP
     std::uint64_t cutShort = 0;        // connections that ended before a whole line
     std::uint64_t mute = 0;            // closed because no opening line came in time
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -151,10 +151,11 @@
     good.client.close();
     expectOver(good.host);
     good.host.close();
-    while (host.idle()) {  // the id is free again once the node has seen that end
-        const Wire again = node.client("OPEN 9b1f 7f3a c=chat,d=20000\r\n");
-        awaitEither(host, again);
+    while (node.counter("client_ended") == 0) {
     }
+    Wire copy = node.client("OPEN 9b1f 8 c=chat,d=20000\r\n");
+    EXPECT_EQ(copy.line(), "ERR") << "ids are new with every connection, also just after an end";
+    EXPECT_TRUE(host.idle());
 }
 
 TEST(Node, GivesUpTheAttemptOfAClientThatDoesNotWaitForItsAnswer) {
