Charge sends between reports by the mean capacity of some seconds

At fault: rules.cpp, measureFleet: the momentary quotient as the charge, and listed in it. The charge is now a mean over up to 10 s that starts at the middling host without standing connections (this takes the place of the decay by age), and only hosts with a figure or in use count. Cold hosts, relief and strain go by the momentary figure.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -193,7 +193,7 @@
     // ---- start, clock, list ----
 
     void on(const Started&) {
-        rateAt_ = startedAt_ = now_;
+        rateAt_ = now_;
         if (s_.listMode == ListMode::Ask) watch();
         act(SetTimer{scaled(hostsEvery_, random_.next()) + Micros{1}, kHostTimer});
     }
@@ -375,7 +375,7 @@
     void measureFleet() {
         if (!changed_ && measuredAt_ == now_) return;
         changed_ = false;
-        measuredAt_ = now_;
+        const double span = std::clamp(seconds(now_ - std::exchange(measuredAt_, now_)), 0.0, 1.0);
         double sum = 0.0;
         double loads = 0.0;
         double own = 0.0;
@@ -383,14 +383,12 @@
         double active = 0.0;
         int ownOpen = 0;
         int count = 0;
-        int listed = 0;
         int unknown = 0;
         open_ = 0.0;
         recentLoad_ = 0.0;
         recentCount_ = 0;
         for (const Host& host : hosts_) {
             if (!host.listed) continue;
-            ++listed;
             for (const Placement& p : host.recent) {
                 if (p.at <= now_ - kRecent) continue;
                 recentLoad_ += p.load;
@@ -415,13 +413,16 @@
         // What one unit of load adds to a host, over its capacity. The hosts' own counts tell how much there
         // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
         const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
-                                                     : own * s_.nodes * count / std::max(listed, 1);
+                                                     : own * s_.nodes * count / std::max(count + unknown, 1);
         const double capacity = loads > 0 ? all / loads : 0.0;
         loadShare_ = 1.0 / std::clamp(capacity, kLeastCapacity, kMostCapacity);
-        // Departure, a node without a past: one that has just started carries too little to tell, and charges
-        // its sends as to a middling host. Prevents that it takes a fleet with room to be full.
-        const double young = std::exp(-seconds(now_ - startedAt_) / seconds(kRateOver));
-        charge_ = std::min(loadShare_, 1.0 / (young * std::sqrt(kLeastCapacity * kMostCapacity)));
+        // Departure, a steady capacity: what is sent between reports is charged by the mean of some seconds,
+        // which begins at a middling host where nothing stood at the start. Prevents that a node which
+        // carries little just then (others restart, or itself has) takes a fleet with room to be full.
+        if (own > 0.0 && loads > 0.0) {
+            learnedFor_ = std::clamp(learnedFor_ + span, 0.01, seconds(kRateOver));
+            capacity_ += (1.0 / loadShare_ - capacity_) * span / learnedFor_;
+        }
     }
 
     // Departure, own zone first: while the own zone has room, hosts of other zones draw less; with the own
@@ -447,7 +448,7 @@
 
     double utilisation(const Host& host) const {
         const double sent = sentSince(host) + sentByOthers(host);
-        return std::min(kFull, stated(host) + kFull * sent * charge_ / carries(host));
+        return std::min(kFull, stated(host) + kFull * sent / (capacity_ * carries(host)));
     }
 
     double stated(const Host& host) const { return fresh(host) ? host.utilisation : meanUtilisation_; }
@@ -601,7 +602,7 @@
         r.attempts = 1;
         r.host = e.host;
         r.open = true;
-        startedAt_ = Time::min() / 2;  // what it carries is known from the first moment
+        learnedFor_ = 0.0;  // what the node carries tells from the first moment
         hostFor(e.host);
         attach(r);
     }
@@ -1090,7 +1091,6 @@
     std::deque<Time> asked_;    // arrivals within two windows of the cold rule
     double rate_ = kRateFirst;  // own arrivals a second, as of rateAt_
     Time rateAt_{0};
-    Time startedAt_{0};  // long ago where connections stood by then
     std::vector<Action>* out_ = nullptr;
 
     std::vector<Host> hosts_;  // in the order of their ids
@@ -1101,8 +1101,9 @@
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
     double loadShare_ = 1.0 / kLeastCapacity;  // of a host's capacity, for one unit of load
-    double charge_ = 1.0 / kLeastCapacity;     // the same, for what was sent since the last figure
-    double knee_ = kKneeFirst;                 // load over capacity at which messages begin to come late
+    double capacity_ = std::sqrt(kLeastCapacity * kMostCapacity);  // of a host, over some seconds
+    double learnedFor_ = seconds(kRateOver);                       // what that mean stands for
+    double knee_ = kKneeFirst;  // load over capacity at which messages begin to come late
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
     Time watchDue_{Time::max()};
