Weigh hosts with the connection on them, and by how long they take to set one up

Its strain is not known while it holds little (the prior of 0.15 hides it) and forgotten with a restart. Its set-ups take 45 to 180 ms all the while; the others' 5 to 30, 40 in bursts. Ruled out: late figures (all under 2.2 s old), message delays (echoes come at once, nothing to learn from), probes (their answers are hardly slower there: 14 to 30 ms beside 13 to 25). At fault: rules.cpp, weigh() and leader() (weight by the utilisation without the request), learnStrain() (the only source of strain). Tests: Accounting.AHostThatIsLongInSettingUpDrawsLessThoughItsFigureIsLow, Draw.AHeavyConnectionGoesWhereItFits; both fail without the change.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,6 +47,8 @@
 constexpr double kStrainLeast = 1.3;        // figures of usual hosts differ by less
 constexpr double kStrainMost = 10.0;        // a tenth of the usual: less is idle
 constexpr double kStrainPrior = 0.15;       // load over capacity: so little tells nothing of the strain
+constexpr double kSetupPrior = 20'000;      // us of setting up: so little tells nothing of it either
+constexpr double kSetupUsual = 2.0;         // times the mean: bursts alone make it so much
 constexpr double kTrustLeast = 0.05;        // a trickle, so that recovery is noticed
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
@@ -58,8 +60,7 @@
 constexpr double kKneeDown = 0.01;      // load over capacity, for a late figure near the knee
 constexpr double kKneeUp = 0.001;       // load over capacity, for a punctual one: rests at one late in eleven
 constexpr double kLateShare = 0.5;      // of the message aim: half of it in the mean leaves many beyond it
-constexpr double kHolderMore = 0.1;     // load over capacity: a group's hosts take members so far above the
-                                        // knee, and moves, which cost a break, start only there
+constexpr double kHolderMore = 0.1;     // above the knee: a group's hosts take members, and moves start, here
 constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
 constexpr double kSlowKeeps = 0.5;      // of the knee: a slow host is relieved to so much, it may get slower
 constexpr double kCrossing = 0.2;       // on the weight of other zones' hosts while the own has room
@@ -125,6 +126,8 @@
     double load = 0.0;    // load over capacity, unclamped
     double active = 0.0;  // requests held, where told
     double strain = 1.0;  // load over capacity against what a usual host would show for the same
+    double setup = 1.0;   // the time that it takes to set a connection up, against the usual
+    double wayUs = 0.0;   // there and back, as probes tell
     // probes and health
     Time confirmAt{Time::max()};  // of a further one, while the host is in doubt
     Time probedAt{0};
@@ -335,6 +338,7 @@
         host->probeOut = false;
         if (e.outcome == Outcome::Ok) {
             host->probeFailures = 0;
+            host->wayUs += (static_cast<double>(e.waited.count()) - host->wayUs) * kStrainStep;
             host->trust += (1.0 - host->trust) * kTrustHealing;
         } else if (e.outcome != Outcome::Full) {
             ++host->probeFailures;
@@ -416,9 +420,9 @@
                                                      : own * s_.nodes * count / std::max(count + unknown, 1);
         const double capacity = loads > 0 ? all / loads : 0.0;
         loadShare_ = 1.0 / std::clamp(capacity, kLeastCapacity, kMostCapacity);
-        // Departure, a steady capacity: what is sent between reports is charged by the mean of some seconds,
-        // which begins at a middling host where nothing stood at the start. Prevents that a node which
-        // carries little just then (others restart, or itself has) takes a fleet with room to be full.
+        // Departure, a steady capacity: sends between reports are charged by the mean of some seconds, at
+        // first a middling host's where nothing stood at the start. Prevents that a node which carries little
+        // just then (others restart, or itself has) takes a fleet with room to be full.
         if (own > 0.0 && loads > 0.0) {
             learnedFor_ = std::clamp(learnedFor_ + span, 0.01, seconds(kRateOver));
             capacity_ += (1.0 / loadShare_ - capacity_) * span / learnedFor_;
@@ -456,10 +460,9 @@
     // What a host with such a figure draws of 100, as far as it has room.
     double open(double utilisation) const { return utilisation >= kFull * knee_ ? 0.0 : kFull - utilisation; }
 
-    // Departure, accounting between reports: what this node sent since the figure was taken is added to it,
-    // and what the others will have sent: each about as much as this one, spread as the draw spreads it as
-    // far as this one's sends are too few to tell. Prevents herding onto a host that reported low, above all
-    // by hundreds of nodes onto the few that have room.
+    // Departure, accounting between reports: to a figure is added what this node sent since, and the others:
+    // each about as much as this one, spread as the draw spreads it as far as this one's sends are too few to
+    // tell. Prevents herding onto a host that reported low, above all by hundreds of nodes.
     double sentByOthers(const Host& host) const {
         if (open_ <= 0.0) return 0.0;
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
@@ -511,8 +514,9 @@
     }
 
     // What a host carries of what a usual one does.
-    double carries(const Host& host) const { return warmth(host) / (slow(host) ? host.strain : 1.0); }
-    bool slow(const Host& host) const { return host.strain >= kStrainLeast; }
+    double carries(const Host& host) const { return warmth(host) / (slow(host) ? strainOf(host) : 1.0); }
+    static double strainOf(const Host& host) { return std::max(host.strain, host.setup); }
+    static bool slow(const Host& host) { return strainOf(host) >= kStrainLeast; }
 
     // Departure, slow hosts: one whose figure stands far above what its connections would cost a usual host
     // draws, and is charged, by what it carries. Prevents that it is overfilled and emptied by turns.
@@ -526,6 +530,15 @@
         host.strain += (std::clamp(ratio, 1.0, kStrainMost) - host.strain) * kStrainStep;
     }
 
+    // The same by how long setting up takes beside the way: that tells of an empty host too, and at once.
+    void learnSetup(Host& host, Micros waited) {
+        if (s_.groupsShareWork) return;
+        const double took = std::max(0.0, static_cast<double>(waited.count()) - 2.0 * host.wayUs);
+        const double ratio = (took + kSetupPrior) / (kSetupUsual * usualSetup_ + kSetupPrior);
+        usualSetup_ += (std::min(took, kSetupUsual * usualSetup_ + kSetupPrior) - usualSetup_) * kLoadStep;
+        host.setup += (std::clamp(ratio, 1.0, kStrainMost) - host.setup) * kStrainStep;
+    }
+
     bool coldRoom(const Host& host) const { return warmth(host) >= 1.0 || now_ >= host.coldNext; }
 
     // What a cold host stands a second, with a margin: what fills it over its warm-up, times the multiple.
@@ -543,22 +556,19 @@
     }
 
     // Departure, slow start among many nodes: where a node's part is less than one connection, a cold host
-    // stays in the draw of a request by chance, so that in the mean all nodes together send what it stands;
-    // in a burst only the first requests of each node have that chance, and none that alone is more than it
-    // stands. Prevents that the sends of hundreds of nodes meet on a cold host, above all when clients come
-    // back all at once or when it is the only one with room, and that it gets nothing at other times.
+    // stays in a request's draw by chance, so that in the mean all nodes together send what it stands; in a
+    // burst only the first requests of each node have it, and none that alone is too much. Prevents that the
+    // sends of hundreds of nodes meet on a cold host, or that it gets nothing at other times.
     bool coldChance(const Request& r, const Host& host, double share) const {
         const double stands = coldPerSecond(host) * seconds(s_.rules.fall);
         if (r.load > stands * kColdSafety) return false;
         if (s_.nodes < 2) return true;
         const double requests = stands / ((s_.nodes - 1.0) * share * std::max(1.0, r.load));
-        const auto id = static_cast<std::uint64_t>(host.entry.id);
-        return r.inWindow <= std::max(r.usual, requests) &&
-               unitInterval(mix(r.draw + mix(id))) * r.usual < requests;
+        const double chance = unitInterval(mix(r.draw + mix(static_cast<std::uint64_t>(host.entry.id))));
+        return r.inWindow <= std::max(r.usual, requests) && chance * r.usual < requests;
     }
 
-    // A cold host's share is that of its weight among the hosts that have room: on a busy fleet they may be
-    // few.
+    // A cold host's share is that of its weight among the hosts that have room, which may be few.
     bool spared(const Request& r, const Host& host) const {
         if (warmth(host) >= 1.0) return false;
         const double weight = roomIn(host, known(host) ? utilisation(host) : 0.0);
@@ -604,7 +614,7 @@
         r.open = true;
         learnedFor_ = 0.0;  // what the node carries tells from the first moment
         hostFor(e.host);
-        attach(r);
+        count(r, 1);
     }
 
     double expectedLoad(const Arrived& e) const {
@@ -619,9 +629,6 @@
         return cls < s_.classes.size() ? s_.classes[cls] : kUnlisted;
     }
 
-    void attach(const Request& r) { count(r, 1); }
-    void detach(const Request& r) { count(r, -1); }
-
     void count(const Request& r, int step) {
         if (Host* host = find(r.host)) {
             host->ownOpen += step;
@@ -658,9 +665,8 @@
 
     bool busy() const { return meanUtilisation_ >= kFull * (knee_ - kBusyBelow); }
 
-    // Departure, admission control: on a busy fleet the tenants that are over their share yield, since what
-    // they add is worth little and would push the others' connections past their message aims. A node that
-    // holds few connections takes a tenant to be over only where its count can hardly be chance.
+    // Departure, admission control: on a busy fleet the tenants that are over their share yield, since they
+    // would make the others' messages late for little worth; only where their count can hardly be chance.
     bool refuseAtOnce(const Request& r) const {
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
         if (tenant >= tenantOpen_.size() || s_.tenants[tenant].quotaConnections <= 0) return false;
@@ -674,7 +680,7 @@
         double chance;  // in (0, 1), of this request or group and this host
         int members;    // this node's connections of the request's group there
         double race;    // -log of the chance
-        double factor;  // on the weight
+        double weight;
         double utilisation;
         bool askable;
     };
@@ -707,11 +713,11 @@
     // The draw as a race: the host with the least -log(chance) / weight wins, which each does in proportion
     // to its weight. A host that can still be asked could weigh up to 100; if it leads even so, it is asked
     // first. So the draw is the same as with all figures at hand, for a few probes. Members of a group go
-    // where this node already has most of them. If all weights are zero, the draw is even.
+    // where this node already has most of them. If all weights are zero, the draw is even. The utilisation is
+    // that with the request on it: a heavy one goes where it fits.
     static std::vector<Candidate>::iterator leader(std::vector<Candidate>& candidates) {
         const auto rank = [](const Candidate& c) {
-            const double weight = (c.askable ? kFull : kFull - c.utilisation) * c.factor;
-            return std::tuple(-c.members, weight > 0.0 ? 0 : 1, c.race / (weight > 0.0 ? weight : 1.0));
+            return std::tuple(-c.members, c.weight > 0.0 ? 0 : 1, c.race / (c.weight > 0.0 ? c.weight : 1.0));
         };
         return std::min_element(
             candidates.begin(), candidates.end(),
@@ -771,10 +777,12 @@
             // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
             // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
             // low figure.
-            c.factor = host.trust * carries(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
+            const double factor = host.trust * carries(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
             c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
             c.askable = askable(host, r);
+            const double with = c.utilisation + kFull * r.load / (capacity_ * carries(host));
+            c.weight = factor * (c.askable ? kFull : kFull - with);
         }
     }
 
@@ -810,12 +818,11 @@
         host.recent.push_back({id, now_, r.load});
         changed_ = true;
         spendCold(host, r.load);
-        attach(r);
+        count(r, 1);
         act(Send{id, host.entry.id, timeoutFor(r)});
     }
 
-    // Half of what is left of the aim, so that a second attempt still fits; never under what setting up
-    // takes.
+    // Half of what is left of the aim, so that a second attempt fits; never under what setting up takes.
     Micros timeoutFor(const Request& r) const {
         const Micros left = r.deadline - now_;
         if (r.attempts >= s_.limits.attempts || !couldRepeat(r)) return left;
@@ -868,7 +875,7 @@
         } else {
             act(Fail{id});
         }
-        if (r.out) detach(r);
+        if (r.out) count(r, -1);
         forget(id);
     }
 
@@ -882,7 +889,10 @@
         r.open = true;
         unopened_.erase(e.request);
         setupUs_ += (static_cast<double>(e.waited.count()) - setupUs_) * kLoadStep;
-        if (Host* host = find(e.host)) wentWell(*host);
+        Host* host = find(e.host);
+        if (host == nullptr) return;
+        wentWell(*host);
+        learnSetup(*host, e.waited);
     }
 
     void on(const AttemptEnded& e) {
@@ -892,7 +902,7 @@
         if (at == requests_.end()) return;
         Request& r = at->second;
         if (host != nullptr) judge(*host, e.outcome);
-        detach(r);
+        count(r, -1);
         r.out = false;
         if (e.requestOver) {
             forget(e.request);
@@ -914,29 +924,18 @@
     }
 
     void judge(Host& host, Outcome outcome) {
-        switch (outcome) {
-            case Outcome::Ok:
-                return wentWell(host);
-            case Outcome::Full:
-                // Departure: a host that turned a connection away is passed over until its next figure.
-                host.fullUntil = now_ + kProbeEvery;
-                return;
-            case Outcome::Error:
-            case Outcome::Timeout:
-            case Outcome::ConnectFailed:
-            case Outcome::Reset:
-                return wentWrong(host);
-            case Outcome::Cancelled:
-            case Outcome::Moot:
-                return;
-        }
+        if (outcome == Outcome::Cancelled || outcome == Outcome::Moot) return;
+        if (outcome == Outcome::Ok) return wentWell(host);
+        if (outcome != Outcome::Full) return wentWrong(host);
+        // Departure: a host that turned a connection away is passed over until its next figure.
+        host.fullUntil = now_ + kProbeEvery;
     }
 
     void on(const ClientLeft& e) {
         const auto at = requests_.find(e.request);
         if (at == requests_.end()) return;
         Request& r = at->second;
-        if (r.out || r.open) detach(r);
+        if (r.out || r.open) count(r, -1);
         forget(e.request);
     }
 
@@ -1033,7 +1032,7 @@
 
     void move(RequestId id, const Request& r) {
         act(Move{id});
-        detach(r);
+        count(r, -1);
         forget(id);
     }
 
@@ -1106,6 +1105,7 @@
     double knee_ = kKneeFirst;  // load over capacity at which messages begin to come late
     double meanActive_ = 0.0;
     double setupUs_ = 0.0;
+    double usualSetup_ = 0.0;  // us, without the way
     Time watchDue_{Time::max()};
     Micros watchBackoff_{0};
 };
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -260,6 +260,43 @@
     EXPECT_LT(first, 46) << "by the stale figures alone it would be 49";
 }
 
+// It reports as little load as the others, but takes 100 ms to set a connection up.
+TEST(Accounting, AHostThatIsLongInSettingUpDrawsLessThoughItsFigureIsLow) {
+    Driver d = fleet(usualSettings(), 4, 0.2);
+    const auto serve = [&d](int requests) {
+        for (int i = 0; i < requests; ++i) {
+            const RequestId request = d.ask();
+            const std::uint64_t target = d.target(request);
+            d.give(Established{request, AttemptIndex{0}, HostId{target}, target == 1 ? 100ms : 12ms});
+            d.end(request, Outcome::Ok, true);
+            d.pass(20ms);
+        }
+    };
+    serve(100);
+    const int first = d.sendsTo(1);
+    EXPECT_LT(first, 20) << "it would be 25";
+    serve(400);
+    EXPECT_LT(d.sendsTo(1) - first, 60) << "a quarter would be 100";
+    EXPECT_GT(d.sendsTo(1) - first, 10) << "so that its recovery is noticed";
+}
+
+// One that is at 0.6 has room for a connection of half a host no more; one at 0.2 has.
+TEST(Draw, AHeavyConnectionGoesWhereItFits) {
+    int fits = 0;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        Settings settings = usualSettings();
+        settings.seed = seed;
+        Driver d = fleet(settings, {0.6, 0.2});
+        Arrived heavy;
+        heavy.request = RequestId{5000};
+        heavy.patience = 3200ms;
+        heavy.loadHint = 5.6e6;  // of a middling host, which a node takes these to be at first
+        d.give(heavy);
+        fits += d.target(RequestId{5000}) == 2 ? 1 : 0;
+    }
+    EXPECT_EQ(fits, 200);
+}
+
 // A node that comes back while the other restarts gets all clients at once; it has carried nothing yet from
 // which it could tell what a host stands.
 TEST(Accounting, ANodeThatHasJustStartedFillsAFleetThatHasRoom) {
