--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -781,7 +781,7 @@
             c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
             c.askable = askable(host, r);
-            const double with = c.utilisation + (grouped(r) ? 0.0 : kFull * r.load / (capacity_ * carries(host)));
+            const double with = c.utilisation + kFull * r.load / (capacity_ * carries(host));
             c.weight = factor * (c.askable ? kFull : kFull - with);
         }
     }
