--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -25,7 +25,7 @@
 constexpr double kFull = 100.0;             // utilisation, per cent: the draft's scale ends here (9.1.2)
 constexpr double kUnknownUtilisation = 50;  // per cent: the draft's figure where nothing is known (9.1.2)
 constexpr Micros kFreshFor = 5s;            // the draft's age at which a figure no longer counts (9.1.2)
-constexpr Micros kProbeEvery = 500ms;          // the draft lets a figure change once a second (9.2.1)
+constexpr Micros kProbeEvery = 1s;          // the draft lets a figure change once a second (9.2.1)
 constexpr Micros kProbeMost = 4500ms;       // a late answer still comes before the figure is 5 s old
 constexpr double kProbesPerRequest = 4.0;   // steady probes of hosts that hold nothing of this node: no more
 constexpr Micros kRecent = 2s;              // span of a node's own sends that tells what others send now
