--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -526,8 +526,8 @@
         const double shown = host.ownLoad - sentSince(host);
         const double all = host.active > 0 ? host.active * shown / open : shown * s_.nodes;
         const double usual = all * loadShare_ / warmth(host);
-        const double ratio = std::clamp(host.load / std::max(usual, 1e-6), 1.0 / kStrainMost, kStrainMost);
-        host.strain += (ratio - host.strain) * kStrainStep * usual / (usual + kStrainPrior);
+        const double ratio = (host.load + kStrainPrior) / (usual + kStrainPrior);
+        host.strain += (std::clamp(ratio, 1.0, kStrainMost) - host.strain) * kStrainStep;
     }
 
     // The same by how long setting up takes beside the way: that tells of an empty host too, and at once.
