--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -995,9 +995,7 @@
     // Departure: a host that reports more load than it can carry serves nobody well. This node moves its part
     // of the excess, in the order of the groups, as far as the others have room.
     void relieve(Host& host) {
-        if (host.load <= knee_ + (slow(host) ? 0.0 : kHolderMore) || now_ < host.moveNext ||
-            host.ownOpen == 0)
-            return;
+        if (host.load <= knee_ + kHolderMore || now_ < host.moveNext || host.ownOpen == 0) return;
         double room = 0.0;
         int takers = 0;
         int told = 0;
