--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1046,7 +1046,7 @@
         if (!room) return;
         for (Host& host : hosts_) {
             const bool draining = host.listed && host.entry.availability == Availability::Draining;
-            const bool lost = host.listed && unhealthy(host);
+            const bool lost = host.listed && host.probeFailures > kProbeFailures;
             if (host.ownOpen == 0 || (!draining && !lost)) continue;
             moveOff(host, host.ownLoad * kEvacuateShare);
         }
