--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -319,6 +319,31 @@
     EXPECT_LT(placedBySeasoned, 60);
 }
 
+// The others hold what it has lost: the hosts stand as before, though its own part tells of a tenth of them.
+TEST(Accounting, ANodeThatLosesMostOfItsConnectionsKeepsWhatItKnowsOfTheHosts) {
+    Settings settings = usualSettings();
+    settings.nodes = 2;
+    Driver d = fleet(settings, 4, 0.4);
+    Arrived standing;
+    standing.loadHint = 200'000;
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        standing.request = RequestId{5000 + i};
+        d.give(AlreadyOpen{standing, HostId{1 + i % 4}});
+    }
+    d.pass(10s);
+    for (std::uint64_t i = 0; i < 36; ++i) {
+        d.give(AttemptEnded{
+            RequestId{5000 + i}, AttemptIndex{0}, HostId{1 + i % 4}, Outcome::Ok, 30ms, true, {}});
+    }
+    d.pass(2s);
+    int placed = 0;
+    for (int i = 0; i < 60; ++i) {
+        d.pass(5ms);
+        placed += d.target(d.ask()) != 0 ? 1 : 0;
+    }
+    EXPECT_EQ(placed, 60);
+}
+
 // ---- admission ----
 
 TEST(Admission, WaitsForRoomThenRefusesWithinTheAim) {
