Tell what a load adds in one place; one owner counts a request and keeps its id

Read once more: the charge of a load stood in utilisation() and weigh(), the bound of a usual set-up twice in learnSetup(), the capacity went through its reciprocal; Held and OpenId lived and died together; four tests of attempts set up alike.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -138,24 +138,20 @@
            mostDescriptors_;
 }
 
-// Counts one that is in progress.
-struct Clients::Held {
-    explicit Held(std::size_t& count) : count_(count) { ++count_; }
-    Held(const Held&) = delete;
-    Held& operator=(const Held&) = delete;
-    ~Held() { --count_; }
-
-    std::size_t& count_;
-};
-
-// Keeps the id of a request for as long as that is open, and a while longer: ids are new with every
+// Counts a request for as long as it is open, and keeps its id a while longer: ids are new with every
 // connection.
-class Clients::OpenId {
+class Clients::OpenRequest {
   public:
-    OpenId(Clients& clients, std::uint64_t id) : clients_(clients), id_(id) { clients_.ids_.insert(id); }
-    OpenId(const OpenId&) = delete;
-    OpenId& operator=(const OpenId&) = delete;
-    ~OpenId() { clients_.endedIds_.emplace_back(clients_.scheduler_.now(), id_); }
+    OpenRequest(Clients& clients, std::uint64_t id) : clients_(clients), id_(id) {
+        ++clients_.requests_;
+        clients_.ids_.insert(id);
+    }
+    OpenRequest(const OpenRequest&) = delete;
+    OpenRequest& operator=(const OpenRequest&) = delete;
+    ~OpenRequest() {
+        --clients_.requests_;
+        clients_.endedIds_.emplace_back(clients_.scheduler_.now(), id_);
+    }
 
   private:
     Clients& clients_;
@@ -171,8 +167,7 @@
             unopened.reset();
             exchange.yielded = false;  // its line was here by then: it is a request now
             ++counters_.requests;
-            const Held held{requests_};
-            const OpenId id{*this, opening->id()};
+            const OpenRequest request{*this, opening->id()};
             if (!opening->value("at").empty()) {
                 co_await takeUp(exchange, *opening);
             } else if (crowded()) {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -36,9 +36,8 @@
     Task<void> drain();
 
   private:
-    struct Held;
     class Unopened;
-    class OpenId;
+    class OpenRequest;
 
     Task<void> serve(std::unique_ptr<Exchange> owned);
     Task<std::optional<Opening>> opening(Exchange& exchange);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,7 +43,7 @@
 constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
 constexpr double kTrustStep = 0.2;          // weight of one attempt in a host's success share: ~5 count
 constexpr double kTrustHealing = 0.1;       // weight of an answered probe: back to half trust in ~7 s
-constexpr double kStrainStep = 0.4;         // weight of one report in a host's strain: two or three tell
+constexpr double kStrainStep = 0.4;         // weight of one report, set-up or probe: two or three tell
 constexpr double kStrainLeast = 1.3;        // figures of usual hosts differ by less
 constexpr double kStrainMost = 10.0;        // a tenth of the usual: less is idle
 constexpr double kStrainPrior = 0.15;       // load over capacity: so little tells nothing of the strain
@@ -418,14 +418,14 @@
         // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
         const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
                                                      : own * s_.nodes * count / std::max(count + unknown, 1);
-        const double capacity = loads > 0 ? all / loads : 0.0;
-        loadShare_ = 1.0 / std::clamp(capacity, kLeastCapacity, kMostCapacity);
+        const double capacity = std::clamp(loads > 0 ? all / loads : 0.0, kLeastCapacity, kMostCapacity);
+        loadShare_ = 1.0 / capacity;
         // Departure, a steady capacity: sends between reports are charged by the mean of some seconds, at
         // first a middling host's where nothing stood at the start. Prevents that a node which carries little
         // just then (others restart, or itself has) takes a fleet with room to be full.
         if (own > 0.0 && loads > 0.0) {
             learnedFor_ = std::clamp(learnedFor_ + span, 0.01, seconds(kRateOver));
-            capacity_ += (1.0 / loadShare_ - capacity_) * span / learnedFor_;
+            capacity_ += (capacity - capacity_) * span / learnedFor_;
         }
     }
 
@@ -451,10 +451,11 @@
     }
 
     double utilisation(const Host& host) const {
-        const double sent = sentSince(host) + sentByOthers(host);
-        return std::min(kFull, stated(host) + kFull * sent / (capacity_ * carries(host)));
+        return std::min(kFull, stated(host) + adds(host, sentSince(host) + sentByOthers(host)));
     }
 
+    double adds(const Host& host, double load) const { return kFull * load / (capacity_ * carries(host)); }
+
     double stated(const Host& host) const { return fresh(host) ? host.utilisation : meanUtilisation_; }
 
     // What a host with such a figure draws of 100, as far as it has room.
@@ -534,9 +535,9 @@
     void learnSetup(Host& host, Micros waited) {
         if (s_.groupsShareWork) return;
         const double took = std::max(0.0, static_cast<double>(waited.count()) - 2.0 * host.wayUs);
-        const double ratio = (took + kSetupPrior) / (kSetupUsual * usualSetup_ + kSetupPrior);
-        usualSetup_ += (std::min(took, kSetupUsual * usualSetup_ + kSetupPrior) - usualSetup_) * kLoadStep;
-        host.setup += (std::clamp(ratio, 1.0, kStrainMost) - host.setup) * kStrainStep;
+        const double most = kSetupUsual * usualSetup_ + kSetupPrior;
+        usualSetup_ += (std::min(took, most) - usualSetup_) * kLoadStep;
+        host.setup += (std::clamp((took + kSetupPrior) / most, 1.0, kStrainMost) - host.setup) * kStrainStep;
     }
 
     bool coldRoom(const Host& host) const { return warmth(host) >= 1.0 || now_ >= host.coldNext; }
@@ -781,8 +782,7 @@
             c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
             c.askable = askable(host, r);
-            const double with = c.utilisation + kFull * r.load / (capacity_ * carries(host));
-            c.weight = factor * (c.askable ? kFull : kFull - with);
+            c.weight = factor * (c.askable ? kFull : kFull - c.utilisation - adds(host, r.load));
         }
     }
 
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -64,6 +64,14 @@
         scheduler.stop();
     }
 
+    // An attempt from its start to what came of it.
+    std::optional<AttemptResult> played(bool standing = false) {
+        std::optional<AttemptResult> result;
+        scheduler.spawn(attempt(result, standing));
+        scheduler.run();
+        return result;
+    }
+
     // Takes the connection, reads what was sent within the first read, and answers.
     Task<void> host(std::string& got, std::string answer) {
         int descriptor = -1;
@@ -89,11 +97,9 @@
 TEST(Attempt, IsUpWhenTheHostSaysSo) {
     Fixture f;
     f.list(Availability::Ready);
-    std::optional<AttemptResult> result;
     std::string got;
     f.scheduler.spawn(f.host(got, "UP r1\r\n"));
-    f.scheduler.spawn(f.attempt(result, false));
-    f.scheduler.run();
+    const auto result = f.played();
     ASSERT_TRUE(result);
     EXPECT_EQ(result->kind, AttemptResult::Kind::Up);
     EXPECT_TRUE(got.starts_with("OPEN 1 2 c=x,d=")) << got;
@@ -102,11 +108,9 @@
 TEST(Attempt, SendsNothingToAHostThatTheListHasTakenOutMeanwhile) {
     Fixture f;
     f.list(Availability::Draining);
-    std::optional<AttemptResult> result;
     std::string got = "(nothing yet)";
     f.scheduler.spawn(f.host(got, ""));
-    f.scheduler.spawn(f.attempt(result, false));
-    f.scheduler.run();
+    const auto result = f.played();
     ASSERT_TRUE(result);
     EXPECT_EQ(result->kind, AttemptResult::Kind::Ended);
     EXPECT_EQ(result->outcome, Outcome::Moot);
@@ -117,11 +121,9 @@
 TEST(Attempt, OfAConnectionFromBeforeTheStartGoesToADrainingHostToo) {
     Fixture f;
     f.list(Availability::Draining);
-    std::optional<AttemptResult> result;
     std::string got;
     f.scheduler.spawn(f.host(got, "UP r1\r\n"));
-    f.scheduler.spawn(f.attempt(result, true));
-    f.scheduler.run();
+    const auto result = f.played(true);
     ASSERT_TRUE(result);
     EXPECT_EQ(result->kind, AttemptResult::Kind::Up);
 }
@@ -148,9 +150,7 @@
 
 TEST(Attempt, AtAHostWithoutAnAddressCouldNotConnect) {
     Fixture f;
-    std::optional<AttemptResult> result;
-    f.scheduler.spawn(f.attempt(result, false));
-    f.scheduler.run();
+    const auto result = f.played();
     ASSERT_TRUE(result);
     EXPECT_EQ(result->outcome, Outcome::ConnectFailed);
 }
