--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -260,26 +260,38 @@
     EXPECT_LT(first, 46) << "by the stale figures alone it would be 49";
 }
 
+// Requests that end at once; the first host takes so long to set one up, the others 5 ms.
+void serveWithSetUps(Driver& d, int requests, Micros first) {
+    for (int i = 0; i < requests; ++i) {
+        const RequestId request = d.ask();
+        const std::uint64_t target = d.target(request);
+        d.give(Established{request, AttemptIndex{0}, HostId{target}, target == 1 ? first : 5ms});
+        d.end(request, Outcome::Ok, true);
+        d.pass(20ms);
+    }
+}
+
 // It reports as little load as the others, but takes 100 ms to set a connection up.
 TEST(Accounting, AHostThatIsLongInSettingUpDrawsLessThoughItsFigureIsLow) {
     Driver d = fleet(usualSettings(), 4, 0.2);
-    const auto serve = [&d](int requests) {
-        for (int i = 0; i < requests; ++i) {
-            const RequestId request = d.ask();
-            const std::uint64_t target = d.target(request);
-            d.give(Established{request, AttemptIndex{0}, HostId{target}, target == 1 ? 100ms : 12ms});
-            d.end(request, Outcome::Ok, true);
-            d.pass(20ms);
-        }
-    };
-    serve(100);
+    serveWithSetUps(d, 100, 100ms);
     const int first = d.sendsTo(1);
     EXPECT_LT(first, 20) << "it would be 25";
-    serve(400);
+    serveWithSetUps(d, 400, 100ms);
     EXPECT_LT(d.sendsTo(1) - first, 60) << "a quarter would be 100";
     EXPECT_GT(d.sendsTo(1) - first, 10) << "so that its recovery is noticed";
 }
 
+// Where the usual host takes a few milliseconds, twenty tell of a slow one as well.
+TEST(Accounting, TheShortSetUpsOfTheOthersTellOfASlowHost) {
+    Driver d = fleet(usualSettings(), 8, 0.2);
+    serveWithSetUps(d, 1600, 20ms);
+    const int slow = d.sendsTo(1);
+    EXPECT_LT(slow, 140) << "an eighth would be 200";
+    serveWithSetUps(d, 1600, 5ms);
+    EXPECT_GT(d.sendsTo(1) - slow, 180) << "well again";
+}
+
 // One that is at 0.6 has room for a connection of half a host no more; one at 0.2 has.
 TEST(Draw, AHeavyConnectionGoesWhereItFits) {
     int fits = 0;
