Pass over load figures that are not finite

A host that reports x0=inf made Facade::readLoad hand infinity to the module: relieve then computes nan and moves all connections off that host, and the fleet's capacity falls to its least. readNumber of the line parser had the check, std::from_chars alone in readLoad had not.

--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -173,7 +174,7 @@
         const std::string_view number = item.substr(equals + 1);
         double value = 0.0;
         const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
-        if (error != std::errc{} || end != number.data() + number.size()) continue;
+        if (error != std::errc{} || end != number.data() + number.size() || !std::isfinite(value)) continue;
         setReported(report, reportField(item.substr(0, equals)), value);
         any = true;
     }
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -306,6 +306,7 @@
     EXPECT_FALSE(load->latencyMs);
     EXPECT_FALSE(Facade::readLoad(""));
     EXPECT_FALSE(Facade::readLoad("broken"));
+    EXPECT_FALSE(Facade::readLoad("x0=inf,util=nan,inflight=-inf")) << "no figures";
 }
 
 }  // namespace
