--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -39,8 +39,7 @@
 constexpr Micros kFrontNotices = 450ms;        // the front goes on sending so long after SIGTERM
 constexpr Micros kLongestDeadline = 3s;        // SIGKILL comes no sooner than the longest deadline, cut to
 constexpr Micros kKilledAfter = 700ms;         // this, and so much more after SIGTERM
-constexpr Micros kDrainMargin = 500ms;         // between the last answer and SIGKILL
-constexpr Micros kComeBack = 300ms;            // moved clients are elsewhere before the next node stops
+constexpr Micros kDrainMargin = 500ms;         // between the last move and SIGKILL
 constexpr Micros kDrainStep = 50ms;
 constexpr std::string_view kFailed = "ERR\r\n";
 
@@ -383,15 +382,14 @@
     Signal pause{scheduler_};
     const Time start = scheduler_.now();
     const Micros mayTake = std::min(facade_.longestPatience(), kLongestDeadline) + kKilledAfter;
-    const Time answered = start + std::max(mayTake - kDrainMargin, kFrontNotices + kComeBack + kDrainStep);
-    const Time moved = answered - kComeBack;
-    co_await pause.wait(start + std::max(kFrontNotices, std::min(mayTake / 2, moved - start)));
+    const Time answered = start + std::max(mayTake - kDrainMargin, kFrontNotices + kDrainStep);
+    co_await pause.wait(start + std::max(kFrontNotices, (answered - start) / 2));
     while (requests_ > 0) {
         const Time now = scheduler_.now();
         std::vector<Exchange*> left;
         std::copy_if(standing_.begin(), standing_.end(), std::back_inserter(left),
                      [](const Exchange* exchange) { return !exchange->leave; });
-        const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, (moved - now) / kDrainStep));
+        const auto steps = static_cast<std::size_t>(std::max<Micros::rep>(1, (answered - now) / kDrainStep));
         left.resize((left.size() + steps - 1) / steps);
         for (Exchange* exchange : left) {
             exchange->leave = true;
