--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,5 +1,4 @@
 // The decisions of one node; the interface (settings, events, actions) is in rules.hpp.
-//
 // The ordinary path is the design's: a new connection goes to a ready server drawn at random in proportion to
 // 100 minus its utilisation, read by steady probes and fresh for 5 s. Every departure carries a comment that
 // begins with "Departure" and names the failure it prevents; docs/design.md says when each one acts.
@@ -38,6 +37,7 @@
 constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
 constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
 constexpr Micros kHostsEvery = 100ms;       // passes over all hosts: well under a figure's change
+constexpr Micros kNewFor = 5s;              // a node is new, until the figures show what it carries itself
 constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
 constexpr int kProbeFailures = 2;           // probes in a row: one may be lost, two make a host unhealthy
 constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
@@ -197,6 +197,7 @@
 
     void on(const Started&) {
         rateAt_ = now_;
+        newUntil_ = now_ + kNewFor;
         if (s_.listMode == ListMode::Ask) watch();
         act(SetTimer{scaled(hostsEvery_, random_.next()) + Micros{1}, kHostTimer});
     }
@@ -429,9 +430,8 @@
         }
     }
 
-    // Departure, own zone first: while the own zone has room, hosts of other zones draw less; with the own
-    // zone's room the preference goes. Prevents that a cut between zones takes most connections along, and
-    // needless delay.
+    // Departure, own zone first: while the own zone has room, hosts of other zones draw less. Prevents that a
+    // cut between zones takes most connections along, and needless delay.
     double crossingFactor() const {
         double sum = 0.0;
         int count = 0;
@@ -614,6 +614,7 @@
         r.host = e.host;
         r.open = true;
         learnedFor_ = 0.0;  // what the node carries tells from the first moment
+        newUntil_ = now_;
         hostFor(e.host);
         count(r, 1);
     }
@@ -714,8 +715,7 @@
     // The draw as a race: the host with the least -log(chance) / weight wins, which each does in proportion
     // to its weight. A host that can still be asked could weigh up to 100; if it leads even so, it is asked
     // first. So the draw is the same as with all figures at hand, for a few probes. Members of a group go
-    // where this node already has most of them. If all weights are zero, the draw is even. The utilisation is
-    // that with the request on it: a heavy one goes where it fits.
+    // where this node has most. Without weights it is even. A weight counts the request: heavy ones fit.
     static std::vector<Candidate>::iterator leader(std::vector<Candidate>& candidates) {
         const auto rank = [](const Candidate& c) {
             return std::tuple(-c.members, c.weight > 0.0 ? 0 : 1, c.race / (c.weight > 0.0 ? c.weight : 1.0));
@@ -775,9 +775,8 @@
         const double crossing = grouped(r) ? 1.0 : crossingFactor();
         for (Candidate& c : candidates) {
             const Host& host = *c.host;
-            // Departure: the draw is discounted by recent success and, while a host is cold, by its warmth.
-            // Prevents that a host which fails at once, or is back from a restart, draws a full share on its
-            // low figure.
+            // Departure: the draw is discounted by recent success and by what the host carries. Prevents that
+            // one which fails at once, or is cold, draws a full share on its low figure.
             const double factor = host.trust * carries(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
             c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
@@ -815,7 +814,10 @@
         r.sentAt = now_;
         r.out = true;
         ++r.attempts;
-        host.recent.push_back({id, now_, r.load});
+        // Departure: what comes again to a node that started without a connection stood on the hosts a moment
+        // ago; their figures hold it. Prevents that a node which takes over the clients of one that stops
+        // takes a fleet with room to be full, and refuses them.
+        if (!r.asked.returning || now_ >= newUntil_) host.recent.push_back({id, now_, r.load});
         changed_ = true;
         spendCold(host, r.load);
         count(r, 1);
@@ -1022,8 +1024,7 @@
         std::sort(there.begin(), there.end());
         for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
-            // By chance for the last, so that over many nodes with a part of one connection each the sum is
-            // right.
+            // By chance for the last, so that the sum over many nodes with a part each is right.
             if (load < r.load * random_.next()) return;
             load -= r.load;
             move(id, r);
@@ -1036,9 +1037,8 @@
         forget(id);
     }
 
-    // Departure: connections on a host that answers no probes, or that drains, are brought elsewhere in small
-    // steps while others can take them. Prevents that they hang on a cut link, or break all at once when the
-    // host stops.
+    // Departure: connections on a host that answers no probes, or drains, are moved in small steps while
+    // others can take them. Prevents that they hang on a cut link, or break all at once when the host stops.
     void evacuate() {
         const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const Host& host) {
             return usable(host) && host.utilisation < kFull * (knee_ + kHolderMore);
@@ -1090,6 +1090,7 @@
     std::deque<Time> asked_;    // arrivals within two windows of the cold rule
     double rate_ = kRateFirst;  // own arrivals a second, as of rateAt_
     Time rateAt_{0};
+    Time newUntil_{0};
     std::vector<Action>* out_ = nullptr;
 
     std::vector<Host> hosts_;  // in the order of their ids
