A new node takes what comes again to stand in the figures already

Checked: the requests waited in the module, no attempt was out, set-ups and probes were as usual. Ruled out: the hosts, the front (first client 0.5 s after the node is ready), the descriptors, the steady capacity (as learned before).

At fault: utilisation and sentByOthers in rules.cpp charge a client that comes again like a new one, and once more for the other node, though the figures (0.7 s old) still hold it where it stood. Now, at a node that started without a connection less than 5 s ago, its charge is taken off all hosts in even parts and tells nothing of others' sends.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,7 +37,7 @@
 constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
 constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
 constexpr Micros kHostsEvery = 100ms;       // passes over all hosts: well under a figure's change
-constexpr Micros kNewFor = 5s;              // a node is new, until the figures show what it carries itself
+constexpr Micros kNewFor = 5s;              // a node is new: longer than another one takes to stop
 constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
 constexpr int kProbeFailures = 2;           // probes in a row: one may be lost, two make a host unhealthy
 constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
@@ -114,6 +114,7 @@
     RequestId by;
     Time at;
     double load;
+    bool elsewhere;  // it came from another node: the figures hold it, at any host
 };
 
 struct Host {
@@ -187,7 +188,6 @@
         now_ = now;
         out_ = &actions;
         std::visit([this](const auto& e) { on(e); }, event);
-        out_ = nullptr;
     }
 
   private:
@@ -267,11 +267,10 @@
         const bool restarted = !isNew && host.entry.launched != entry.launched;
         if (restarted) {
             // A restart under the same id: what was known of the old process does not count.
-            const double load = host.ownLoad;
-            const int open = host.ownOpen;
-            host = Host{};
-            host.ownLoad = load;
-            host.ownOpen = open;
+            Host anew;
+            anew.ownLoad = host.ownLoad;
+            anew.ownOpen = host.ownOpen;
+            host = std::move(anew);
         }
         host.entry = entry;
         host.listed = entry.availability != Availability::Gone;
@@ -389,13 +388,14 @@
         int ownOpen = 0;
         int count = 0;
         int unknown = 0;
-        open_ = 0.0;
+        open_ = freed_ = 0.0;
         recentLoad_ = 0.0;
         recentCount_ = 0;
         for (const Host& host : hosts_) {
             if (!host.listed) continue;
             for (const Placement& p : host.recent) {
-                if (p.at <= now_ - kRecent) continue;
+                if (p.elsewhere) freed_ += p.load / static_cast<double>(hosts_.size());
+                if (p.elsewhere || p.at <= now_ - kRecent) continue;
                 recentLoad_ += p.load;
                 ++recentCount_;
             }
@@ -445,13 +445,15 @@
         return kCrossing + (1.0 - kCrossing) * used;
     }
 
-    double sentSince(const Host& host) const {
-        return std::accumulate(host.recent.begin(), host.recent.end(), 0.0,
-                               [](double sum, const Placement& p) { return sum + p.load; });
+    double sentSince(const Host& host, bool elsewhere = true) const {
+        return std::accumulate(
+            host.recent.begin(), host.recent.end(), 0.0,
+            [&](double sum, const Placement& p) { return elsewhere || !p.elsewhere ? sum + p.load : sum; });
     }
 
     double utilisation(const Host& host) const {
-        return std::min(kFull, stated(host) + adds(host, sentSince(host) + sentByOthers(host)));
+        const double more = adds(host, sentSince(host) + sentByOthers(host)) - kFull * freed_ / capacity_;
+        return std::clamp(stated(host) + more, 0.0, kFull);
     }
 
     double adds(const Host& host, double load) const { return kFull * load / (capacity_ * carries(host)); }
@@ -470,7 +472,7 @@
         const double rate = recentLoad_ / seconds(kRecent);
         const double spread = rate * seconds(age + kReportLag) * open(stated(host)) * carries(host) / open_;
         const double told = recentCount_ / (recentCount_ + static_cast<double>(s_.nodes));
-        return (s_.nodes - 1.0) * (told * sentSince(host) + (1.0 - told) * spread);
+        return (s_.nodes - 1.0) * (told * sentSince(host, false) + (1.0 - told) * spread);
     }
 
     // ---- health ----
@@ -814,10 +816,9 @@
         r.sentAt = now_;
         r.out = true;
         ++r.attempts;
-        // Departure: what comes again to a node that started without a connection stood on the hosts a moment
-        // ago; their figures hold it. Prevents that a node which takes over the clients of one that stops
-        // takes a fleet with room to be full, and refuses them.
-        if (!r.asked.returning || now_ >= newUntil_) host.recent.push_back({id, now_, r.load});
+        // Departure: what comes again to a node that started with nothing stood at another one: no more load.
+        // Prevents that a node which takes over from one that stops sees all hosts full.
+        host.recent.push_back({id, now_, r.load, r.asked.returning && now_ < newUntil_});
         changed_ = true;
         spendCold(host, r.load);
         count(r, 1);
@@ -906,10 +907,7 @@
         if (host != nullptr) judge(*host, e.outcome);
         count(r, -1);
         r.out = false;
-        if (e.requestOver) {
-            forget(e.request);
-            return;
-        }
+        if (e.requestOver) return forget(e.request);
         r.open = false;
         unopened_.insert(e.request);
         tick();
@@ -936,8 +934,7 @@
     void on(const ClientLeft& e) {
         const auto at = requests_.find(e.request);
         if (at == requests_.end()) return;
-        Request& r = at->second;
-        if (r.out || r.open) count(r, -1);
+        if (at->second.out || at->second.open) count(at->second, -1);
         forget(e.request);
     }
 
@@ -1085,6 +1082,7 @@
     Time measuredAt_{0};
     double withRoom_ = 0.0;    // weights of the hosts that have room, as of the last pass
     double open_ = 0.0;        // what all hosts draw together, as far as they have room
+    double freed_ = 0.0;       // at each host, by what has come here from other nodes since its figure
     double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
     int recentCount_ = 0;
     std::deque<Time> asked_;    // arrivals within two windows of the cold rule
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -331,6 +331,40 @@
     EXPECT_LT(placedBySeasoned, 60);
 }
 
+// How many of sixty clients that come within a third of a second are placed at hosts that stand at 0.8.
+int placedOfSixty(Driver& d, bool returning) {
+    int placed = 0;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        Arrived client;
+        client.request = RequestId{6000 + i};
+        client.patience = 3200ms;
+        client.loadHint = 145'000;
+        client.returning = returning;
+        d.pass(5ms);
+        d.give(client);
+        placed += d.target(client.request) != 0 ? 1 : 0;
+    }
+    return placed;
+}
+
+// The clients of a node that stops are in the hosts' figures when they come to one that has just started.
+TEST(Accounting, ANewNodeTakesOverTheClientsOfAStoppingOne) {
+    Settings settings = usualSettings();
+    settings.nodes = 2;
+    Driver takesOver = fleet(settings, 4, 0.8);
+    EXPECT_EQ(placedOfSixty(takesOver, true), 60);
+    Driver growing = fleet(settings, 4, 0.8);
+    EXPECT_LT(placedOfSixty(growing, false), 60) << "more load";
+    Driver later = fleet(settings, 4, 0.8);
+    later.pass(6s);
+    EXPECT_LT(placedOfSixty(later, true), 60) << "new no more";
+    Driver standing = fleet(settings, 4, 0.8);
+    Arrived open;
+    open.request = RequestId{5000};
+    standing.give(AlreadyOpen{open, HostId{1}});
+    EXPECT_LT(placedOfSixty(standing, true), 60) << "had connections at its start";
+}
+
 // The others hold what it has lost: the hosts stand as before, though its own part tells of a tenth of them.
 TEST(Accounting, ANodeThatLosesMostOfItsConnectionsKeepsWhatItKnowsOfTheHosts) {
     Settings settings = usualSettings();
