Probe a host that is long in answering again at once

Checked: the figures' age over both nodes' probes (a new figure every 0.3 to 1.1 s, 0.1 to 0.4 s old when it arrives), so a second probe soon has the new one.

At fault: on(Probed) in rules.cpp took any answer for a sign of health. One that takes over 1.5 times the way and 2 ms now puts the host in doubt: the draft's 250 ms, as after a failure. The way begins at its first measure, not at 0.

The test fails without the change (2 probes, not 3).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,6 +49,8 @@
 constexpr double kStrainPrior = 0.15;       // load over capacity: so little tells nothing of the strain
 constexpr double kSetupPrior = 5'000;       // us of setting up: so little tells nothing of it either
 constexpr double kSetupUsual = 2.0;         // times the mean: bursts alone make it so much
+constexpr double kProbeUsual = 1.5;         // times the mean: the way alone makes a probe so much longer,
+constexpr double kProbePrior = 2'000;       // and us: so little is chance
 constexpr double kTrustLeast = 0.05;        // a trickle, so that recovery is noticed
 constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
 constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
@@ -249,13 +251,11 @@
             watchDue_ = Time::max();
         }
         if (e.kind != ListKind::Delta) {
-            for (Host& host : hosts_) {
+            for (Host& host : hosts_)
                 host.listed = false;
-            }
         }
-        for (const HostEntry& entry : e.hosts) {
+        for (const HostEntry& entry : e.hosts)
             update(entry);
-        }
         std::erase_if(hosts_, [](const Host& host) { return !host.listed && host.ownOpen == 0; });
         probeDueHosts();
         retryHeld(true);
@@ -326,8 +326,9 @@
         rateAt_ = now_;
     }
 
-    // Departure: a host in doubt is probed at the draft's own pace, until it answers or is surely lost.
-    // Prevents that connections wait for seconds on a cut link or a dead host.
+    // Departure: a host in doubt (it failed, or was long in answering) is probed at the draft's own pace,
+    // until it answers well or is surely lost. Prevents that connections wait on a cut link, or a dead or
+    // slow host.
     void confirm(Host& host) {
         if (host.probeFailures <= kProbeFailures) host.confirmAt = now_ + kConfirmEvery;
     }
@@ -338,7 +339,9 @@
         host->probeOut = false;
         if (e.outcome == Outcome::Ok) {
             host->probeFailures = 0;
-            host->wayUs += (static_cast<double>(e.waited.count()) - host->wayUs) * kStrainStep;
+            const auto took = static_cast<double>(e.waited.count());
+            if (host->wayUs > 0.0 && took > kProbeUsual * host->wayUs + kProbePrior) confirm(*host);
+            host->wayUs += (took - host->wayUs) * (host->wayUs > 0.0 ? kStrainStep : 1.0);
             host->trust += (1.0 - host->trust) * kTrustHealing;
         } else if (e.outcome != Outcome::Full) {
             ++host->probeFailures;
@@ -348,8 +351,8 @@
         retryHeld(e.report && host->utilisation < kFull * (knee_ + kHolderMore));
     }
 
-    // Maps a report to a utilisation: load over capacity where it is told, else busy cores, else how the
-    // host's own count of requests stands against the fleet's mean, which then counts as the draft's 50.
+    // Maps a report to a utilisation: load over capacity where it is told, else busy cores, else the count of
+    // requests against the fleet's mean, which then counts as the draft's 50.
     void take(Host& host, const LoadReport& report) {
         host.active = report.active.value_or(0.0);
         if (report.loadOverCapacity) {
@@ -793,9 +796,8 @@
     static void keepGroupHosts(std::vector<Candidate>& candidates) {
         if (candidates.size() <= kGroupHosts) return;
         std::vector<double> chances;
-        for (const Candidate& c : candidates) {
+        for (const Candidate& c : candidates)
             chances.push_back(c.chance);
-        }
         std::nth_element(chances.begin(), chances.begin() + kGroupHosts - 1, chances.end(), std::greater<>());
         const double last = chances[kGroupHosts - 1];
         std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.chance < last; });
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -83,6 +83,7 @@
 
     void load(std::uint64_t id, double loadOverCapacity) { loads_[HostId{id}] = loadOverCapacity; }
     void silence(std::uint64_t id) { loads_.erase(HostId{id}); }
+    void answerAfter(std::uint64_t id, Micros span) { waits_[HostId{id}] = span; }
     void failProbes(std::uint64_t id) { loads_[HostId{id}] = -1.0; }
 
     RequestId ask(std::uint64_t group = 0, Micros patience = 3200ms, std::uint32_t cls = 0,
@@ -162,7 +163,9 @@
             if (known->second < 0.0) {
                 give(Probed{id, Outcome::Timeout, 250ms, {}});
             } else {
-                give(Probed{id, Outcome::Ok, 1ms, loadOf(known->second)});
+                const auto wait = waits_.find(id);
+                give(Probed{id, Outcome::Ok, wait == waits_.end() ? 1ms : wait->second,
+                            loadOf(known->second)});
             }
         }
     }
@@ -178,6 +181,7 @@
     std::vector<Action> actions_;
     std::multimap<Time, TimerToken> timers_;
     std::map<HostId, double> loads_;
+    std::map<HostId, Micros> waits_;
     std::size_t answered_ = 0;
     std::uint64_t lastRequest_ = 0;
 };
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -190,6 +190,21 @@
     EXPECT_GE(d.probesOf(failing) - before, 2) << "two failures, and so the verdict, well within a second";
 }
 
+// The probe is late at once, the figure only with the host's next report.
+TEST(Probes, AHostThatIsSuddenlyLongInAnsweringIsProbedAgainSoon) {
+    Driver d = fleet(usualSettings(), 2, 0.3);
+    d.pass(6s);
+    d.answerAfter(1, 10ms);
+    const int slow = d.probesOf(1);
+    const int usual = d.probesOf(2);
+    d.pass(1900ms);
+    EXPECT_GE(d.probesOf(1) - slow, 3);
+    EXPECT_LE(d.probesOf(2) - usual, 2);
+    const int later = d.probesOf(1);
+    d.pass(3s);
+    EXPECT_LE(d.probesOf(1) - later, 4) << "that is its way by now";
+}
+
 TEST(Probes, ConnectionsOfAHostThatAnswersNoneAreBroughtElsewhere) {
     Driver d = fleet(usualSettings(), 2, 0.3);
     for (int i = 0; i < 40; ++i) {
