Leave new nodes and late probes to where nodes are few

Of hundreds of nodes each gets a few of the clients of one that stops and the others as many, and probes of all are not paid for.

At fault: newUntil_ in on(Started) and confirm in on(Probed) held at any number of nodes. The test fails without the change.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -199,7 +199,7 @@
 
     void on(const Started&) {
         rateAt_ = now_;
-        newUntil_ = now_ + kNewFor;
+        if (fewNodes()) newUntil_ = now_ + kNewFor;
         if (s_.listMode == ListMode::Ask) watch();
         act(SetTimer{scaled(hostsEvery_, random_.next()) + Micros{1}, kHostTimer});
     }
@@ -214,9 +214,8 @@
         }
         act(SetTimer{hostsEvery_, kHostTimer});
         // Without reports, what was sent long ago stands in no balance either.
-        for (Host& host : hosts_) {
+        for (Host& host : hosts_)
             std::erase_if(host.recent, [this](const Placement& p) { return p.at < now_ - kFreshFor; });
-        }
         measureRoom();
         if (s_.listMode == ListMode::Ask && now_ >= watchDue_) watch();
         probeDueHosts();
@@ -308,10 +307,12 @@
         const double perSecond = kProbesPerRequest * ownRate();
         const double every = static_cast<double>(hosts_.size()) / perSecond;
         if (every <= seconds(kProbeMost)) return std::max(kProbeEvery, scaled(1s, every));
-        // So few nodes that a host still gets no more than one probe a second in all.
-        return s_.nodes * kProbeEvery <= kProbeMost ? std::optional(kProbeMost) : std::nullopt;
+        return fewNodes() ? std::optional(kProbeMost) : std::nullopt;
     }
 
+    // So few that a host still gets no more than one steady probe a second in all.
+    bool fewNodes() const { return s_.nodes * kProbeEvery <= kProbeMost; }
+
     double ownRate() const { return rate_ * std::exp(-seconds(now_ - rateAt_) / seconds(kRateOver)); }
 
     void countArrival(Request& r) {
@@ -340,7 +341,8 @@
         if (e.outcome == Outcome::Ok) {
             host->probeFailures = 0;
             const auto took = static_cast<double>(e.waited.count());
-            if (host->wayUs > 0.0 && took > kProbeUsual * host->wayUs + kProbePrior) confirm(*host);
+            const bool late = host->wayUs > 0.0 && took > kProbeUsual * host->wayUs + kProbePrior;
+            if (late && fewNodes()) confirm(*host);
             host->wayUs += (took - host->wayUs) * (host->wayUs > 0.0 ? kStrainStep : 1.0);
             host->trust += (1.0 - host->trust) * kTrustHealing;
         } else if (e.outcome != Outcome::Full) {
@@ -1017,9 +1019,8 @@
 
     void moveOff(const Host& host, double load) {
         std::vector<std::pair<GroupId, RequestId>> there;
-        for (const auto& [id, r] : requests_) {
+        for (const auto& [id, r] : requests_)
             if (r.open && r.host == host.entry.id) there.emplace_back(r.asked.group, id);
-        }
         std::sort(there.begin(), there.end());
         for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -378,6 +378,9 @@
     open.request = RequestId{5000};
     standing.give(AlreadyOpen{open, HostId{1}});
     EXPECT_LT(placedOfSixty(standing, true), 60) << "had connections at its start";
+    settings.nodes = 40;
+    Driver oneOfMany = fleet(settings, 4, 0.8);
+    EXPECT_LT(placedOfSixty(oneOfMany, true), 30) << "the others get as many";
 }
 
 // The others hold what it has lost: the hosts stand as before, though its own part tells of a tenth of them.
