--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -190,6 +190,7 @@
         now_ = now;
         out_ = &actions;
         std::visit([this](const auto& e) { on(e); }, event);
+        out_ = nullptr;
     }
 
   private:
@@ -327,9 +328,8 @@
         rateAt_ = now_;
     }
 
-    // Departure: a host in doubt (it failed, or was long in answering) is probed at the draft's own pace,
-    // until it answers well or is surely lost. Prevents that connections wait on a cut link, or a dead or
-    // slow host.
+    // Departure: a host in doubt (it failed, or is late) is probed at the draft's own pace, until it answers
+    // well or is surely lost. Prevents that connections wait on a cut link, a dead host or a slow one.
     void confirm(Host& host) {
         if (host.probeFailures <= kProbeFailures) host.confirmAt = now_ + kConfirmEvery;
     }
@@ -722,7 +722,7 @@
     // The draw as a race: the host with the least -log(chance) / weight wins, which each does in proportion
     // to its weight. A host that can still be asked could weigh up to 100; if it leads even so, it is asked
     // first. So the draw is the same as with all figures at hand, for a few probes. Members of a group go
-    // where this node has most. Without weights it is even. A weight counts the request: heavy ones fit.
+    // where this node has most. Without weights it is even. Each weight is that with the request on it.
     static std::vector<Candidate>::iterator leader(std::vector<Candidate>& candidates) {
         const auto rank = [](const Candidate& c) {
             return std::tuple(-c.members, c.weight > 0.0 ? 0 : 1, c.race / (c.weight > 0.0 ? c.weight : 1.0));
