Draining hosts keep their connections unless the others have ample room

A draining host serves what it has for some 6 s more, but refuses new connections and answers probes with ERR. Within 0.4 s of the list all nodes emptied it, half of the connections each 100 ms, whatever room there was (evacuate: some host under the knee was enough; fine for one node, not for 100 before one list). Ruled out: the list (all nodes know within 0.4 s), refusals, the cold rule.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -73,6 +73,7 @@
 constexpr double kLeastCapacity = 2e6;  // us of work a second: two cores, the smallest host to expect
 constexpr double kMostCapacity = 64e6;  // us of work a second: a node that just started sees little
 constexpr Micros kMoveSettle = 2s;      // a move shows in reports after the gap, a report and its lag
+constexpr double kDrainRoom = 4.0;      // times what drains: of a release the list tells only the beginning
 constexpr double kEvacuateShare = 0.5;  // of a host's connections a pass: a third of a second for most
 constexpr double kHoldShare = 0.8;      // of the aim: how long a request waits for room before it is refused
 constexpr double kBusyBelow = 0.1;      // load over capacity: a fleet is busy from this far under the knee
@@ -127,6 +128,7 @@
     Time probedAt{0};
     double phase = 0.0;  // of the interval, until the next steady probe; 0 before the first
     bool probeOut = false;
+    int silentProbes = 0;  // in a row that brought nothing back at all
     // what this node has there
     std::vector<Placement> recent;  // sends that the last report cannot show yet
     double ownLoad = 0.0;
@@ -373,6 +375,9 @@
         Host* host = find(e.host);
         if (host == nullptr) return;
         host->probeOut = false;
+        const bool silent = e.outcome == Outcome::Timeout ||
+                            (e.outcome == Outcome::ConnectFailed && e.waited >= s_.limits.connectTimeout);
+        host->silentProbes = silent ? host->silentProbes + 1 : 0;
         if (e.outcome == Outcome::Ok) {
             host->probeFailures = 0;
             const auto took = static_cast<double>(e.waited.count());
@@ -1086,19 +1091,41 @@
         forget(id);
     }
 
-    // Departure: connections on a host that answers no probes, or drains, are moved in small steps while
-    // others can take them. Prevents that they hang on a cut link, or break all at once when the host stops.
+    // Departure: connections on a host from which nothing comes back are moved in small steps while others
+    // can take them; off one that drains, which serves on what it has, only while the others have ample room
+    // for all that drains, and no faster than their figures show. Prevents that they hang on a cut link or
+    // break at once when a host stops, and that all nodes together empty half a fleet onto hosts without
+    // room.
     void evacuate() {
         const bool room = std::any_of(hosts_.begin(), hosts_.end(), [this](const Host& host) {
             return usable(host) && host.utilisation < kFull * (fleet_.knee + kHolderMore);
         });
         if (!room) return;
+        const bool ample = roomForDrained();
         for (Host& host : hosts_) {
-            const bool draining = host.listed && host.entry.availability == Availability::Draining;
-            const bool lost = host.listed && host.probeFailures > kProbeFailures;
-            if (host.ownOpen == 0 || (!draining && !lost)) continue;
-            moveOff(host, host.ownLoad * kEvacuateShare);
+            if (!host.listed || host.ownOpen == 0) continue;
+            if (host.silentProbes > kProbeFailures) {
+                moveOff(host, host.ownLoad * kEvacuateShare);
+            } else if (draining(host) && ample) {
+                moveOff(host, host.ownLoad * seconds(hostsEvery_) / seconds(kMoveSettle));
+            }
+        }
+    }
+
+    static bool draining(const Host& host) { return host.entry.availability == Availability::Draining; }
+
+    bool roomForDrained() const {
+        double drained = 0.0;
+        double room = 0.0;
+        for (const Host& host : hosts_) {
+            if (!host.listed) continue;
+            if (draining(host)) {
+                drained += stated(host);
+            } else if (usable(host) && warmth(host) >= 1.0) {
+                room += std::max(0.0, kFull * fleet_.knee - stated(host)) * carries(host);
+            }
         }
+        return room >= kDrainRoom * drained;
     }
 
     // ---- plumbing ----
