LOAD lines far under a connection's usual load are message delays

Seen in the lines of all hosts on join+vast: each second, at the same instant, every node gets the same LOAD on one connection of each crowded host: 23.308, 32.805, up to 1,412, where the connections' loads lie at 1,940 and more. Facade::loadNow took them as loads: connections at hosts that are late passed for weightless, all own load there vanished, and with it the relief, the strain and what the node took a host to carry. Ruled out: idle connections (they stand at 0.1 of the usual) and a change of units (the loads between come as before). Change: the facade tells the two apart where the settings name both. So the node hears of late messages on sockets, too.

--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr double kIdleShare = 0.03;  // of its usual load: an idle connection asks a tenth of it
+
 // FNV-1a: the same at every node, whatever the name looks like. Never 0, which stands for none.
 std::uint64_t hashOf(std::string_view text) {
     std::uint64_t hash = 0xcbf29ce484222325ULL;
@@ -68,6 +70,7 @@
     arrival_.group = GroupId{settings.settings.groupsShareWork ? hashOrNone(asked.group) : 0};
     arrival_.key = KeyId{hashOrNone(asked.key)};
     arrival_.loadHint = asked.loadHint;
+    usualLoad_ = asked.loadHint.value_or(0.0);
     arrival_.patience = asked.patience;
     arrival_.returning = asked.returning;
 }
@@ -162,9 +165,16 @@
     release(ticket);
 }
 
-void Facade::loadNow(Ticket& ticket, double load) {
-    ticket.arrival_.loadHint = load;
-    handle(LoadNote{ticket.arrival_.request, ticket.host_, load});
+// Hosts say both with the same word. Where the settings name both, a figure far under what even an idle
+// connection asks is a message's time in milliseconds. Prevents that the connections of a host which is late
+// pass for weightless, so that the node fills it further and relieves it of nothing.
+void Facade::hostTells(Ticket& ticket, double figure) {
+    if (settings_.tellsDelay && figure < kIdleShare * ticket.usualLoad_) {
+        handle(DelayNote{ticket.arrival_.request, ticket.host_, figure});
+        return;
+    }
+    ticket.arrival_.loadHint = figure;
+    handle(LoadNote{ticket.arrival_.request, ticket.host_, figure});
 }
 
 void Facade::messageTook(Ticket& ticket, Micros delay) {
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -118,7 +118,8 @@
     Facade& facade_;
     Listener& listener_;
     Arrived arrival_;
-    bool held_ = false;  // the module knows the request
+    double usualLoad_ = 0.0;  // as the client guessed; 0: it did not
+    bool held_ = false;       // the module knows the request
     bool move_ = false;
     int attempts_ = 0;
     HostId host_{};
@@ -160,7 +161,7 @@
     void established(Ticket& ticket, Micros waited);  // the attempt is up
     void attemptEnded(Ticket& ticket, Outcome outcome, Micros waited, const std::optional<LoadReport>& load);
     void connectionEnded(Ticket& ticket, Outcome outcome, const std::optional<LoadReport>& load);
-    void loadNow(Ticket& ticket, double load);
+    void hostTells(Ticket& ticket, double figure);  // of a connection's load, or of how long messages take
     void messageTook(Ticket& ticket, Micros delay);
     void probed(HostId host, Outcome outcome, Micros waited, const std::optional<LoadReport>& load);
     void listed(bool full, const std::vector<ListedHost>& changes);
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -219,7 +219,7 @@
 void Hosts::Relay::hostLine(std::string_view line) {
     const auto [word, rest] = firstWord(line);
     if (word == "LOAD") {
-        if (const auto load = finiteNumber(rest)) facade_.loadNow(ticket_, *load);
+        if (const auto figure = finiteNumber(rest)) facade_.hostTells(ticket_, *figure);
         return;
     }
     if (word == "UP") return;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -225,6 +225,7 @@
 
     const Section family = root.section("familyInfo");
     s.groupsShareWork = family.flag("groups", s.groupsShareWork);
+    node.tellsDelay = family.flag("tellsDelay", node.tellsDelay);
     s.flowMode = family.word("mode", s.flowMode, {{"proxy", FlowMode::Proxy}, {"pass", FlowMode::Pass}});
 
     const Section report = root.section("report");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -35,6 +35,7 @@
     std::vector<std::string> tenantNames;
     std::vector<std::string> zoneNames;
     std::vector<std::string> kindNames;
+    bool tellsDelay = false;       // hosts tell how long a message takes there, beside a connection's load
     Micros idleAfter{15'000'000};  // a connection that carries nothing so long is closed
 };
 
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -210,7 +210,7 @@
     EXPECT_EQ(f.last<AlreadyOpen>().host, HostId{3});
     const RequestId id = f.last<AlreadyOpen>().request.request;
     f.answer = [id](const Event&) { return std::vector<Action>{Move{id}}; };
-    f.facade.loadNow(ticket, 40'000);
+    f.facade.hostTells(ticket, 40'000);
     EXPECT_TRUE(ticket.toBeMoved());
     EXPECT_EQ(owner.orders, 1);
     const std::size_t before = f.seen.size();
@@ -218,6 +218,34 @@
     EXPECT_EQ(f.seen.size(), before);
 }
 
+// One word for both: a host that is late would else seem to carry nothing.
+TEST(Facade, AFigureFarUnderAConnectionsUsualLoadIsHowLongMessagesTake) {
+    NodeSettings settings;
+    settings.tellsDelay = true;
+    Fixture f{settings};
+    Owner owner;
+    Asked asked;
+    asked.loadHint = 50'000;
+    Ticket ticket{f.facade, owner, asked};
+    f.facade.stands(ticket, HostId{3});
+    f.facade.hostTells(ticket, 23.5);
+    EXPECT_EQ(f.last<DelayNote>().messageMs, 23.5);
+    EXPECT_EQ(ticket.load(), 50'000);
+    f.facade.hostTells(ticket, 5'000);
+    EXPECT_EQ(f.last<LoadNote>().load, 5'000) << "idle";
+}
+
+TEST(Facade, WhereHostsTellNoDelayEveryFigureIsALoad) {
+    Fixture f;
+    Owner owner;
+    Asked asked;
+    asked.loadHint = 50'000;
+    Ticket ticket{f.facade, owner, asked};
+    f.facade.stands(ticket, HostId{3});
+    f.facade.hostTells(ticket, 23.5);
+    EXPECT_EQ(f.last<LoadNote>().load, 23.5);
+}
+
 TEST(Facade, TickRunsWhatIsDueAndTellsWhenNext) {
     Fixture f;
     EXPECT_EQ(f.facade.tick(), Time::max());
