Cold budgets by what the list calls a host's size, not by a node's one connection

Of 60 choices sampled 40 took hosts to have 2.0e6 us a second, the least possible: capacity is own load times nodes over the hosts' load, and a node of a hundred holds a connection or none, so that most requests found every cold host too small (big) or drew no chance. Lines at fault: measureFleet, loadShare_ of the moment. Ruled out: spacing between sends (one of seven), ejection (none), asks. Change: what hosts carry is pooled over a minute; until 200 connection-seconds were seen, the listed size counts more, in cores where the list is nominal or rough. Each cold host has a budget by its own size.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -72,6 +72,9 @@
 constexpr double kLoadStep = 0.05;      // weight of one load note in the mean of a class
 constexpr double kLeastCapacity = 2e6;  // us of work a second: two cores, the smallest host to expect
 constexpr double kMostCapacity = 64e6;  // us of work a second: a node that just started sees little
+constexpr double kCore = 1e6;           // us of work a second: sizes in the list count in these
+constexpr Micros kSizeOver = 60s;       // hosts do not change; which of them are listed does
+constexpr double kSizeSeen = 200.0;     // connection-seconds: twenty connections over ten seconds
 constexpr Micros kMoveSettle = 2s;      // a move shows in reports after the gap, a report and its lag
 constexpr double kDrainRoom = 4.0;      // times what drains: of a release the list tells only the beginning
 constexpr double kEvacuateShare = 0.5;  // of a host's connections a pass: a third of a second for most
@@ -254,6 +257,10 @@
         for (const HostEntry& entry : e.hosts)
             update(entry);
         std::erase_if(hosts_, [](const Host& host) { return !host.listed && host.ownOpen == 0; });
+        sizes_ = 0.0;
+        const bool sized = s_.weightKind == WeightKind::Nominal || s_.weightKind == WeightKind::Rough;
+        for (const Host& host : hosts_)
+            if (sized) sizes_ += host.entry.units / static_cast<double>(hosts_.size());
         probeDueHosts();
         retryHeld(true);
     }
@@ -467,7 +474,7 @@
         const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
                                                      : own * s_.nodes * count / std::max(count + unknown, 1);
         const double capacity = std::clamp(loads > 0 ? all / loads : 0.0, kLeastCapacity, kMostCapacity);
-        loadShare_ = 1.0 / capacity;
+        learnSize(all * span, loads * span, ownOpen * span);
         // Departure, a steady capacity: sends between reports are charged by the mean of some seconds, at
         // first a middling host's where nothing stood at the start. Prevents that a node which carries little
         // just then (others restart, or itself has) takes a fleet with room to be full.
@@ -477,6 +484,23 @@
         }
     }
 
+    // What a host carries, pooled over a minute, and until much was seen what the list calls its size, in
+    // cores. A node of hundreds has a connection or two: the moment tells it nothing.
+    void learnSize(double work, double loads, double seen) {
+        const double kept = std::exp(-seconds(now_ - sizedAt_) / seconds(kSizeOver));
+        sizedAt_ = now_;
+        work_ = work_ * kept + work;
+        loads_ = loads_ * kept + loads;
+        seen_ = seen_ * kept + seen;
+        const double listed = sizes_ > 0.0 ? sizes_ * kCore : kLeastCapacity;
+        const double told = seen_ / (seen_ + kSizeSeen);
+        const double learned = loads_ > 0.0 ? work_ / loads_ : listed;
+        loadShare_ = 1.0 / std::clamp(learned * told + listed * (1.0 - told), kLeastCapacity, kMostCapacity);
+    }
+
+    // Of the usual host's, as the list has it.
+    double size(const Host& host) const { return sizes_ > 0.0 ? host.entry.units / sizes_ : 1.0; }
+
     // Departure, own zone first: while the own zone has room, hosts of other zones draw less. Prevents that a
     // cut between zones takes most connections along, and needless delay.
     double crossingFactor() const {
@@ -600,7 +624,8 @@
 
     // What a cold host stands a second, with a margin: what fills it over its warm-up, times the multiple.
     double coldPerSecond(const Host& host) const {
-        return kColdSafety * s_.rules.fallMultiple * warmth(host) / loadShare_ / seconds(s_.rules.warmAfter);
+        return kColdSafety * s_.rules.fallMultiple * warmth(host) * size(host) / loadShare_ /
+               seconds(s_.rules.warmAfter);
     }
 
     // Departure, slow start: each node spaces its sends to a cold host by its own part of what the host
@@ -1182,6 +1207,11 @@
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
     double loadShare_ = 1.0 / kLeastCapacity;  // of a host's capacity, for one unit of load
+    double sizes_ = 0.0;                       // mean size of a listed host; 0: none is told
+    double work_ = 0.0;                        // of all nodes, by this one's,
+    double loads_ = 0.0;                       // what the hosts said meanwhile,
+    double seen_ = 0.0;                        // and this node's connections, all times seconds
+    Time sizedAt_{0};
     Time watchDue_{Time::max()};
     Micros watchBackoff_{0};
 };
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -445,6 +445,54 @@
     EXPECT_LE(sent / 4, 25);
 }
 
+// What a hundred nodes that hold no connection send within 2 s to a host that started 2 s ago, in us of work
+// a second, beside eleven warm ones at 0.7. Each has one request in that time.
+double sentByIdleNodes(double units, std::uint64_t seed) {
+    double sent = 0.0;
+    for (std::uint32_t node = 0; node < 100; ++node) {
+        Settings settings = usualSettings();
+        settings.nodes = 100;
+        settings.nodeIndex = node;
+        settings.seed = seed + node;
+        settings.weightKind = WeightKind::Nominal;
+        settings.rules = RuleFigures{16ms, 500ms, 0.16, 23s, 3.0, 2s, 10s};
+        Driver d{settings};
+        std::vector<HostEntry> entries;
+        for (std::uint64_t id = 1; id <= 12; ++id) {
+            entries.push_back(host(id));
+            entries.back().units = units;
+            d.load(id, 0.7);
+        }
+        entries.back().launched = d.now();
+        d.load(12, 0.0);
+        d.list(entries);
+        d.pass(2s + 20ms * node);
+        Arrived request;
+        request.request = RequestId{1};
+        request.patience = 3200ms;
+        request.loadHint = 50'000;
+        d.give(request);
+        d.pass(200ms);
+        if (d.target(RequestId{1}) == 12) sent += *request.loadHint;
+    }
+    return sent;
+}
+
+// A node of many has a connection or none, and can tell nothing of what hosts carry from that.
+TEST(ColdHosts, NodesThatHoldNothingUseTheBudgetThatTheListedSizeStates) {
+    // It stands 3 times 0.23 of its size over 23 s, for 2 s: 4.5 cores are 270,000.
+    double small = 0.0;
+    double large = 0.0;
+    for (std::uint64_t run = 1; run <= 4; ++run) {
+        small += sentByIdleNodes(4.5, 1000 * run) / 4;
+        large += sentByIdleNodes(18.0, 1000 * run) / 4;
+    }
+    EXPECT_LE(small, 270'000);
+    EXPECT_GE(small, 270'000 / 3);
+    EXPECT_LE(large, 4 * 270'000);
+    EXPECT_GE(large, 2 * small);
+}
+
 // The only host, idle and two seconds after its start.
 Driver oneColdHost(const Settings& settings) {
     Driver d{settings};
