One pooled capacity by listed sizes; late hosts asked at once; others told by four own sends

(a) A node with connections there learns it at its steady probe, 4.5 s apart, though the host tells each second that messages are late. (b) sentByOthers took the last 2 s of own sends; a node of a hundred sends every five seconds, so nine in ten took the others to send nothing. (c) Sends between reports were charged by a mean of ratios, each of which a node of one connection gets wrong, and alike for hosts of 4.5 and of 8 cores. Change: a message that misses its aim has its host probed at once; others' sends go by as many seconds as four own ones take, 2 to 10; the pooled capacity and the listed sizes replace the steady and the momentary one, one figure for all.

The estate of an upgrade has a new version: what one before it says of capacity is not read.

--- a/src/handover/estate.cpp
+++ b/src/handover/estate.cpp
@@ -21,7 +21,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HostKnowledge, reported, reportedAt, utilisation, load, active, strain,
                                    setup, wayUs, probeFailures, attemptFailures, trust, ejectedUntil,
                                    ejection, fullUntil, lateAt, coldNext, moveNext)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetKnowledge, knee, capacity, learnedFor, rate, meanActive, setupUs,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetKnowledge, knee, work, loads, seen, rate, meanActive, setupUs,
                                    usualSetup, classLoad)
 
 namespace {
--- a/src/handover/estate.hpp
+++ b/src/handover/estate.hpp
@@ -11,7 +11,7 @@
 
 namespace ivyreel {
 
-constexpr int kEstateVersion = 1;
+constexpr int kEstateVersion = 2;
 
 struct Estate {
     std::string console;  // where operators call the old one; empty: nowhere
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -28,6 +28,7 @@
 constexpr Micros kProbeMost = 4500ms;       // a late answer still comes before the figure is 5 s old
 constexpr double kProbesPerRequest = 4.0;   // steady probes of hosts that hold nothing of this node: no more
 constexpr Micros kRecent = 2s;              // span of a node's own sends that tells what others send now
+constexpr double kFewSends = 4.0;           // fewer tell nothing of what the others send
 constexpr Micros kRateOver = 10s;           // span over which a node knows its own arrivals
 constexpr double kRateFirst = 1.0;          // arrivals a second at a node, until some were seen
 constexpr Micros kAskOlder = 2s;            // a figure older than two of the draft's changes is asked anew
@@ -72,15 +73,16 @@
 constexpr double kLoadStep = 0.05;      // weight of one load note in the mean of a class
 constexpr double kLeastCapacity = 2e6;  // us of work a second: two cores, the smallest host to expect
 constexpr double kMostCapacity = 64e6;  // us of work a second: a node that just started sees little
-constexpr double kCore = 1e6;           // us of work a second: sizes in the list count in these
-constexpr Micros kSizeOver = 60s;       // hosts do not change; which of them are listed does
-constexpr double kSizeSeen = 200.0;     // connection-seconds: twenty connections over ten seconds
-constexpr Micros kMoveSettle = 2s;      // a move shows in reports after the gap, a report and its lag
-constexpr double kDrainRoom = 4.0;      // times what drains: of a release the list tells only the beginning
-constexpr double kEvacuateShare = 0.5;  // of a host's connections a pass: a third of a second for most
-constexpr double kHoldShare = 0.8;      // of the aim: how long a request waits for room before it is refused
-constexpr double kBusyBelow = 0.1;      // load over capacity: a fleet is busy from this far under the knee
-constexpr double kChance = 2.0;         // standard deviations: one count in forty is further off by chance
+constexpr double kMiddlingCapacity = 11e6;  // us of work a second: the geometric mean of the two
+constexpr double kCore = 1e6;               // us of work a second: sizes in the list count in these
+constexpr Micros kSizeOver = 60s;           // hosts do not change; which of them are listed does
+constexpr double kSizeSeen = 200.0;         // connection-seconds: twenty connections over ten seconds
+constexpr Micros kMoveSettle = 2s;          // a move shows in reports after the gap, a report and its lag
+constexpr double kDrainRoom = 4.0;       // times what drains: of a release the list tells only the beginning
+constexpr double kEvacuateShare = 0.5;   // of a host's connections a pass: a third of a second for most
+constexpr double kHoldShare = 0.8;       // of the aim: how long a request waits for room before it is refused
+constexpr double kBusyBelow = 0.1;       // load over capacity: a fleet is busy from this far under the knee
+constexpr double kChance = 2.0;          // standard deviations: one count in forty is further off by chance
 constexpr Micros kWatchBackoff = 500ms;  // first wait after the list failed; doubles, jittered
 
 constexpr TimerToken kHostTimer{0};
@@ -445,12 +447,16 @@
         open_ = freed_ = 0.0;
         recentLoad_ = 0.0;
         recentCount_ = 0;
+        const double few = kFewSends / std::max(ownRate(), kFewSends / seconds(kRateOver));
+        recentOver_ = std::max(seconds(kRecent), few);
+        std::erase_if(sent_, [this](const Placement& p) { return p.at <= now_ - kRateOver; });
+        for (const Placement& p : sent_)
+            if (seconds(now_ - p.at) < recentOver_) recentLoad_ += p.load;
         for (const Host& host : hosts_) {
             if (!host.listed) continue;
             for (const Placement& p : host.recent) {
                 if (p.elsewhere) freed_ += p.load / static_cast<double>(hosts_.size());
                 if (p.elsewhere || p.at <= now_ - kRecent) continue;
-                recentLoad_ += p.load;
                 ++recentCount_;
             }
             const double shown = host.ownLoad - sentSince(host);  // the figures do not show the rest yet
@@ -473,29 +479,22 @@
         // is in all; where they are not told, the other nodes are taken to carry as much each as this one.
         const double all = active > 0 && ownOpen > 0 ? active * ownShown / ownOpen
                                                      : own * s_.nodes * count / std::max(count + unknown, 1);
-        const double capacity = std::clamp(loads > 0 ? all / loads : 0.0, kLeastCapacity, kMostCapacity);
-        learnSize(all * span, loads * span, ownOpen * span);
-        // Departure, a steady capacity: sends between reports are charged by the mean of some seconds, at
-        // first a middling host's where nothing stood at the start. Prevents that a node which carries little
-        // just then (others restart, or itself has) takes a fleet with room to be full.
-        if (own > 0.0 && loads > 0.0) {
-            fleet_.learnedFor = std::clamp(fleet_.learnedFor + span, 0.01, seconds(kRateOver));
-            fleet_.capacity += (capacity - fleet_.capacity) * span / fleet_.learnedFor;
-        }
+        const double kept = std::exp(-span / seconds(kSizeOver));
+        fleet_.work = fleet_.work * kept + all * span;
+        fleet_.loads = fleet_.loads * kept + loads * span;
+        fleet_.seen = fleet_.seen * kept + ownOpen * span;
+        loadShare_ = 1.0 / capacity(kMiddlingCapacity);
     }
 
-    // What a host carries, pooled over a minute, and until much was seen what the list calls its size, in
-    // cores. A node of hundreds has a connection or two: the moment tells it nothing.
-    void learnSize(double work, double loads, double seen) {
-        const double kept = std::exp(-seconds(now_ - sizedAt_) / seconds(kSizeOver));
-        sizedAt_ = now_;
-        work_ = work_ * kept + work;
-        loads_ = loads_ * kept + loads;
-        seen_ = seen_ * kept + seen;
-        const double listed = sizes_ > 0.0 ? sizes_ * kCore : kLeastCapacity;
-        const double told = seen_ / (seen_ + kSizeSeen);
-        const double learned = loads_ > 0.0 ? work_ / loads_ : listed;
-        loadShare_ = 1.0 / std::clamp(learned * told + listed * (1.0 - told), kLeastCapacity, kMostCapacity);
+    // Departure, a steady capacity: what a usual host carries is pooled over a minute, and until much was
+    // seen it is what the list calls the size, in cores, or else a guess. Prevents that a node goes by a
+    // moment in which it carries little: others restart, itself has, or of hundreds it holds a connection or
+    // two.
+    double capacity(double guess) const {
+        const double listed = sizes_ > 0.0 ? sizes_ * kCore : guess;
+        const double told = fleet_.seen / (fleet_.seen + kSizeSeen);
+        const double learned = fleet_.loads > 0.0 ? fleet_.work / fleet_.loads : listed;
+        return std::clamp(learned * told + listed * (1.0 - told), kLeastCapacity, kMostCapacity);
     }
 
     // Of the usual host's, as the list has it.
@@ -524,13 +523,12 @@
     }
 
     double utilisation(const Host& host) const {
-        const double more =
-            adds(host, sentSince(host) + sentByOthers(host)) - kFull * freed_ / fleet_.capacity;
+        const double more = adds(host, sentSince(host) + sentByOthers(host)) - kFull * freed_ * loadShare_;
         return std::clamp(stated(host) + more, 0.0, kFull);
     }
 
     double adds(const Host& host, double load) const {
-        return kFull * load / (fleet_.capacity * carries(host));
+        return kFull * load * loadShare_ / (size(host) * carries(host));
     }
 
     double stated(const Host& host) const { return fresh(host) ? host.utilisation : meanUtilisation_; }
@@ -546,7 +544,7 @@
     double sentByOthers(const Host& host) const {
         if (open_ <= 0.0) return 0.0;
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
-        const double rate = recentLoad_ / seconds(kRecent);
+        const double rate = recentLoad_ / recentOver_;
         const double spread = rate * seconds(age + kReportLag) * open(stated(host)) * carries(host) / open_;
         const double told = recentCount_ / (recentCount_ + static_cast<double>(s_.nodes));
         return (s_.nodes - 1.0) * (told * sentSince(host, false) + (1.0 - told) * spread);
@@ -624,7 +622,7 @@
 
     // What a cold host stands a second, with a margin: what fills it over its warm-up, times the multiple.
     double coldPerSecond(const Host& host) const {
-        return kColdSafety * s_.rules.fallMultiple * warmth(host) * size(host) / loadShare_ /
+        return kColdSafety * s_.rules.fallMultiple * warmth(host) * size(host) * capacity(kLeastCapacity) /
                seconds(s_.rules.warmAfter);
     }
 
@@ -700,7 +698,6 @@
         r.attempts = 1;
         r.host = e.host;
         r.open = true;
-        if (!inherited_) fleet_.learnedFor = 0.0;  // what the node carries tells from the first moment
         newUntil_ = now_;
         hostFor(e.host);
         count(r, 1);
@@ -719,9 +716,10 @@
     void count(const Request& r, int step) {
         if (Host* host = find(r.host)) {
             host->ownOpen += step;
-            // What has ended again is no longer on its way into the host's figure.
-            if (step < 0)
-                std::erase_if(host->recent, [&r](const Placement& p) { return p.by == r.asked.request; });
+            // What has ended again is no longer on its way into the host's figure, and tells nothing.
+            const auto same = [&r](const Placement& p) { return p.by == r.asked.request; };
+            if (step < 0) std::erase_if(host->recent, same);
+            if (step < 0) std::erase_if(sent_, same);
             host->ownLoad = host->ownOpen > 0 ? std::max(0.0, host->ownLoad + step * r.load) : 0.0;
         }
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
@@ -901,6 +899,7 @@
         // Departure: what comes again to a node that started with nothing stood at another one: no more load.
         // Prevents that a node which takes over from one that stops sees all hosts full.
         host.recent.push_back({id, now_, r.load, r.asked.returning && now_ < newUntil_});
+        if (!host.recent.back().elsewhere) sent_.push_back(host.recent.back());
         changed_ = true;
         spendCold(host, r.load);
         count(r, 1);
@@ -1039,7 +1038,12 @@
         Host* host = find(e.host);
         const Micros aim = at->second.cls.messageAim;
         if (host == nullptr || aim <= Micros{0}) return;
-        if (e.messageMs * 1e3 > kLateShare * static_cast<double>(aim.count())) host->lateAt = now_;
+        if (e.messageMs * 1e3 <= kLateShare * static_cast<double>(aim.count())) return;
+        host->lateAt = now_;
+        // Departure: a host whose messages miss their aim is asked at once what it carries. Prevents that it
+        // piles up work until the steady probe of a large fleet comes round, and relief with it.
+        const bool missed = e.messageMs * 1e3 > static_cast<double>(aim.count());
+        if (missed && now_ - host->probedAt >= kConfirmEvery) host->confirmAt = now_;
     }
 
     // Departure, the knee: the load over capacity at which messages begin to come late differs between fleets
@@ -1177,10 +1181,7 @@
     }
 
     Settings s_;
-    FleetKnowledge fleet_{.knee = kKneeFirst,
-                          .capacity = std::sqrt(kLeastCapacity * kMostCapacity),
-                          .learnedFor = seconds(kRateOver),
-                          .rate = kRateFirst};
+    FleetKnowledge fleet_{.knee = kKneeFirst, .rate = kRateFirst};
     Random random_;
     Micros tick_{kTick};
     Micros hostsEvery_{kHostsEvery};
@@ -1193,7 +1194,9 @@
     double freed_ = 0.0;       // at each host, by what has come here from other nodes since its figure
     double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
     int recentCount_ = 0;
-    std::deque<Time> asked_;  // arrivals within two windows of the cold rule
+    double recentOver_ = seconds(kRecent);
+    std::vector<Placement> sent_;  // over the last seconds, but for what has ended again
+    std::deque<Time> asked_;       // arrivals within two windows of the cold rule
     Time rateAt_{0};
     Time newUntil_{0};
     bool inherited_ = false;
@@ -1206,12 +1209,8 @@
     std::map<std::pair<GroupId, HostId>, int> members_;  // this node's connections of a group, by host
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
-    double loadShare_ = 1.0 / kLeastCapacity;  // of a host's capacity, for one unit of load
-    double sizes_ = 0.0;                       // mean size of a listed host; 0: none is told
-    double work_ = 0.0;                        // of all nodes, by this one's,
-    double loads_ = 0.0;                       // what the hosts said meanwhile,
-    double seen_ = 0.0;                        // and this node's connections, all times seconds
-    Time sizedAt_{0};
+    double loadShare_ = 1.0 / kMiddlingCapacity;  // of a host's capacity, for one unit of load
+    double sizes_ = 0.0;                          // mean size of a listed host; 0: none is told
     Time watchDue_{Time::max()};
     Micros watchBackoff_{0};
 };
--- a/src/rules.hpp
+++ b/src/rules.hpp
@@ -119,8 +119,9 @@
 
 struct FleetKnowledge {
     double knee = 0.0;                // load over capacity at which messages begin to come late
-    double capacity = 0.0;            // of a host, us of work a second, over some seconds
-    double learnedFor = 0.0;          // what that mean stands for
+    double work = 0.0;                // of all nodes, us a second, by this one's,
+    double loads = 0.0;               // what the hosts said meanwhile over capacity,
+    double seen = 0.0;                // and this node's connections, each times seconds
     double rate = 0.0;                // own arrivals a second
     double meanActive = 0.0;          // requests held at a host, where told
     double setupUs = 0.0;             // that setting a connection up takes
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -345,8 +345,11 @@
     Driver fresh = fleet(settings, 4, 0.4);
     Driver seasoned = fleet(settings, 4, 0.4);
     Arrived standing;
-    standing.request = RequestId{5000};
-    seasoned.give(AlreadyOpen{standing, HostId{1}});  // all that it has: so the hosts are the smallest
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        standing.request = RequestId{5000 + i};
+        seasoned.give(AlreadyOpen{standing, HostId{1 + i % 4}});  // all that it has: so the hosts are small
+    }
+    seasoned.pass(60s);
     EXPECT_EQ(placedOfSixty(fresh), 60);
     EXPECT_LT(placedOfSixty(seasoned), 60);
 }
@@ -376,6 +379,44 @@
     EXPECT_LT(placedOfSixty(oneOfMany, again), 30) << "the others get as many";
 }
 
+// A node of a hundred that sends one request in some seconds is not alone when it sends the next.
+TEST(Accounting, OfManyNodesTheOthersGoOnSendingWhileThisOnePauses) {
+    Settings settings = usualSettings();
+    settings.nodes = 100;
+    Driver d = fleet(settings, 1, 0.8);
+    Arrived request;
+    request.request = RequestId{1};
+    request.patience = 3200ms;
+    request.loadHint = 100'000;
+    d.give(request);
+    d.pass(100ms);
+    ASSERT_EQ(d.target(RequestId{1}), 1U);
+    d.establish(RequestId{1});
+    d.pass(4s);
+    request.request = RequestId{2};
+    d.give(request);
+    d.pass(100ms);
+    EXPECT_EQ(d.sends(RequestId{2}), 0) << "99 others have filled it since its figure was taken";
+}
+
+// A steady probe of a large fleet comes every 4.5 s: too late for one that piles up work.
+TEST(Probes, AskAHostWhoseMessagesMissTheirAimAtOnce) {
+    Driver d = largeFleet();
+    const RequestId request = d.ask();
+    d.pass(300ms);
+    ASSERT_NE(d.target(request), 0U);
+    d.establish(request);
+    const HostId there{d.target(request)};
+    d.pass(1s);
+    const int before = d.probesOf(d.target(request));
+    d.give(DelayNote{request, there, 80.0});
+    d.pass(200ms);
+    EXPECT_EQ(d.probesOf(d.target(request)), before) << "within the aim of 100 ms";
+    d.give(DelayNote{request, there, 120.0});
+    d.pass(200ms);
+    EXPECT_EQ(d.probesOf(d.target(request)), before + 1);
+}
+
 // The others hold what it has lost: the hosts stand as before, though its own part tells of a tenth of them.
 TEST(Accounting, ANodeThatLosesMostOfItsConnectionsKeepsWhatItKnowsOfTheHosts) {
     Settings settings = usualSettings();
