--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -262,7 +262,7 @@
         sizes_ = 0.0;
         const bool sized = s_.weightKind == WeightKind::Nominal || s_.weightKind == WeightKind::Rough;
         for (const Host& host : hosts_)
-            if (sized) sizes_ += host.entry.units / static_cast<double>(hosts_.size());
+            if (sized) sizes_ += std::max(0.0, host.entry.units) / static_cast<double>(hosts_.size());
         probeDueHosts();
         retryHeld(true);
     }
@@ -313,7 +313,6 @@
 
     // What is known of an earlier process of a host does not count.
     void on(const Inherited& e) {
-        inherited_ = true;
         fleet_ = e.knowledge.fleet;
         rateAt_ = now_;
         useSettings();
@@ -482,7 +481,7 @@
         const double kept = std::exp(-span / seconds(kSizeOver));
         fleet_.work = fleet_.work * kept + all * span;
         fleet_.loads = fleet_.loads * kept + loads * span;
-        fleet_.seen = fleet_.seen * kept + ownOpen * span;
+        fleet_.seen = fleet_.seen * kept + std::max(ownOpen, 0) * span;
         loadShare_ = 1.0 / capacity(kMiddlingCapacity);
     }
 
@@ -497,8 +496,10 @@
         return std::clamp(learned * told + listed * (1.0 - told), kLeastCapacity, kMostCapacity);
     }
 
-    // Of the usual host's, as the list has it.
-    double size(const Host& host) const { return sizes_ > 0.0 ? host.entry.units / sizes_ : 1.0; }
+    // Of the usual host's, as the list has it; one without a size that can be counts as usual.
+    double size(const Host& host) const {
+        return sizes_ > 0.0 && host.entry.units > 0.0 ? host.entry.units / sizes_ : 1.0;
+    }
 
     // Departure, own zone first: while the own zone has room, hosts of other zones draw less. Prevents that a
     // cut between zones takes most connections along, and needless delay.
@@ -718,8 +719,10 @@
             host->ownOpen += step;
             // What has ended again is no longer on its way into the host's figure, and tells nothing.
             const auto same = [&r](const Placement& p) { return p.by == r.asked.request; };
-            if (step < 0) std::erase_if(host->recent, same);
-            if (step < 0) std::erase_if(sent_, same);
+            if (step < 0) {
+                std::erase_if(host->recent, same);
+                std::erase_if(sent_, same);
+            }
             host->ownLoad = host->ownOpen > 0 ? std::max(0.0, host->ownLoad + step * r.load) : 0.0;
         }
         const auto tenant = static_cast<std::size_t>(r.asked.tenant);
@@ -1199,7 +1202,6 @@
     std::deque<Time> asked_;       // arrivals within two windows of the cold rule
     Time rateAt_{0};
     Time newUntil_{0};
-    bool inherited_ = false;
     std::vector<Action>* out_ = nullptr;
 
     std::vector<Host> hosts_;  // in the order of their ids
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -493,6 +493,25 @@
     EXPECT_GE(large, 2 * small);
 }
 
+TEST(ColdHosts, AListedSizeOfNothingCountsAsTheUsualOne) {
+    Settings settings = usualSettings();
+    settings.weightKind = WeightKind::Nominal;
+    Driver d{settings};
+    std::vector<HostEntry> entries{host(1), host(2), host(3)};
+    entries[0].units = 0.0;
+    entries[1].units = -4.0;
+    entries[2].units = 4.0;
+    for (const std::uint64_t id : {1, 2, 3}) {
+        d.load(id, 0.3);
+    }
+    d.list(entries);
+    d.serve(300);
+    for (const std::uint64_t id : {1, 2, 3}) {
+        EXPECT_GT(d.sendsTo(id), 60) << id;
+        EXPECT_LT(d.sendsTo(id), 140) << id;
+    }
+}
+
 // The only host, idle and two seconds after its start.
 Driver oneColdHost(const Settings& settings) {
     Driver d{settings};
