--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -218,31 +218,38 @@
     EXPECT_EQ(f.seen.size(), before);
 }
 
+// A connection that usually asks 50,000 us of work a second, at a host that tells delays or does not.
+struct Standing : Fixture {
+    explicit Standing(bool tellsDelay) : Fixture(settingsWith(tellsDelay)) {
+        facade.stands(ticket, HostId{3});
+    }
+    static NodeSettings settingsWith(bool tellsDelay) {
+        NodeSettings settings;
+        settings.tellsDelay = tellsDelay;
+        return settings;
+    }
+    static Asked usual() {
+        Asked asked;
+        asked.loadHint = 50'000;
+        return asked;
+    }
+    Owner owner;
+    Ticket ticket{facade, owner, usual()};
+};
+
 // One word for both: a host that is late would else seem to carry nothing.
 TEST(Facade, AFigureFarUnderAConnectionsUsualLoadIsHowLongMessagesTake) {
-    NodeSettings settings;
-    settings.tellsDelay = true;
-    Fixture f{settings};
-    Owner owner;
-    Asked asked;
-    asked.loadHint = 50'000;
-    Ticket ticket{f.facade, owner, asked};
-    f.facade.stands(ticket, HostId{3});
-    f.facade.hostTells(ticket, 23.5);
+    Standing f{true};
+    f.facade.hostTells(f.ticket, 23.5);
     EXPECT_EQ(f.last<DelayNote>().messageMs, 23.5);
-    EXPECT_EQ(ticket.load(), 50'000);
-    f.facade.hostTells(ticket, 5'000);
+    EXPECT_EQ(f.ticket.load(), 50'000);
+    f.facade.hostTells(f.ticket, 5'000);
     EXPECT_EQ(f.last<LoadNote>().load, 5'000) << "idle";
 }
 
 TEST(Facade, WhereHostsTellNoDelayEveryFigureIsALoad) {
-    Fixture f;
-    Owner owner;
-    Asked asked;
-    asked.loadHint = 50'000;
-    Ticket ticket{f.facade, owner, asked};
-    f.facade.stands(ticket, HostId{3});
-    f.facade.hostTells(ticket, 23.5);
+    Standing f{false};
+    f.facade.hostTells(f.ticket, 23.5);
     EXPECT_EQ(f.last<LoadNote>().load, 23.5);
 }
 
