One rate of own sends, room for drained hosts asked only where one drains, test set-ups shared

Two members that were only ever divided by each other are one rate; the pass over all hosts every 100 ms for the room of drained ones is made only where this node has connections on one that drains; a client with a load and a node of a hundred are set up in one place of the tests each, whose assertions stay as they were.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -444,19 +444,13 @@
         int count = 0;
         int unknown = 0;
         open_ = freed_ = 0.0;
-        recentLoad_ = 0.0;
         recentCount_ = 0;
-        const double few = kFewSends / std::max(ownRate(), kFewSends / seconds(kRateOver));
-        recentOver_ = std::max(seconds(kRecent), few);
-        std::erase_if(sent_, [this](const Placement& p) { return p.at <= now_ - kRateOver; });
-        for (const Placement& p : sent_)
-            if (seconds(now_ - p.at) < recentOver_) recentLoad_ += p.load;
+        measureSends();
         for (const Host& host : hosts_) {
             if (!host.listed) continue;
             for (const Placement& p : host.recent) {
                 if (p.elsewhere) freed_ += p.load / static_cast<double>(hosts_.size());
-                if (p.elsewhere || p.at <= now_ - kRecent) continue;
-                ++recentCount_;
+                if (!p.elsewhere && p.at > now_ - kRecent) ++recentCount_;
             }
             const double shown = host.ownLoad - sentSince(host);  // the figures do not show the rest yet
             own += shown;
@@ -485,6 +479,17 @@
         loadShare_ = 1.0 / capacity(kMiddlingCapacity);
     }
 
+    // Over as many seconds as a few sends take.
+    void measureSends() {
+        const double few = kFewSends / std::max(ownRate(), kFewSends / seconds(kRateOver));
+        const double over = std::max(seconds(kRecent), few);
+        std::erase_if(sent_, [this](const Placement& p) { return p.at <= now_ - kRateOver; });
+        double load = 0.0;
+        for (const Placement& p : sent_)
+            if (seconds(now_ - p.at) < over) load += p.load;
+        sendRate_ = load / over;
+    }
+
     // Departure, a steady capacity: what a usual host carries is pooled over a minute, and until much was
     // seen it is what the list calls the size, in cores, or else a guess. Prevents that a node goes by a
     // moment in which it carries little: others restart, itself has, or of hundreds it holds a connection or
@@ -545,8 +550,8 @@
     double sentByOthers(const Host& host) const {
         if (open_ <= 0.0) return 0.0;
         const Micros age = fresh(host) ? now_ - host.reportedAt : Micros{0};
-        const double rate = recentLoad_ / recentOver_;
-        const double spread = rate * seconds(age + kReportLag) * open(stated(host)) * carries(host) / open_;
+        const double spread =
+            sendRate_ * seconds(age + kReportLag) * open(stated(host)) * carries(host) / open_;
         const double told = recentCount_ / (recentCount_ + static_cast<double>(s_.nodes));
         return (s_.nodes - 1.0) * (told * sentSince(host, false) + (1.0 - told) * spread);
     }
@@ -1133,12 +1138,11 @@
             return usable(host) && host.utilisation < kFull * (fleet_.knee + kHolderMore);
         });
         if (!room) return;
-        const bool ample = roomForDrained();
         for (Host& host : hosts_) {
             if (!host.listed || host.ownOpen == 0) continue;
             if (host.silentProbes > kProbeFailures) {
                 moveOff(host, host.ownLoad * kEvacuateShare);
-            } else if (draining(host) && ample) {
+            } else if (draining(host) && roomForDrained()) {
                 moveOff(host, host.ownLoad * seconds(hostsEvery_) / seconds(kMoveSettle));
             }
         }
@@ -1192,12 +1196,11 @@
     Time now_{0};
     bool changed_ = true;  // since the fleet was measured last
     Time measuredAt_{0};
-    double withRoom_ = 0.0;    // weights of the hosts that have room, as of the last pass
-    double open_ = 0.0;        // what all hosts draw together, as far as they have room
-    double freed_ = 0.0;       // at each host, by what has come here from other nodes since its figure
-    double recentLoad_ = 0.0;  // of what this node sent in the last moments, and its count
-    int recentCount_ = 0;
-    double recentOver_ = seconds(kRecent);
+    double withRoom_ = 0.0;        // weights of the hosts that have room, as of the last pass
+    double open_ = 0.0;            // what all hosts draw together, as far as they have room
+    double freed_ = 0.0;           // at each host, by what has come here from other nodes since its figure
+    double sendRate_ = 0.0;        // load that this node sends a second
+    int recentCount_ = 0;          // its sends of the last moments
     std::vector<Placement> sent_;  // over the last seconds, but for what has ended again
     std::deque<Time> asked_;       // arrivals within two windows of the cold rule
     Time rateAt_{0};
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -99,6 +99,15 @@
         return request.request;
     }
 
+    RequestId askWithLoad(double load) {
+        Arrived request;
+        request.request = RequestId{++lastRequest_};
+        request.patience = 3200ms;
+        request.loadHint = load;
+        give(request);
+        return request.request;
+    }
+
     // The host that the request was sent to last, 0 if none.
     std::uint64_t target(RequestId request) const {
         const auto at = sent_.find(request);
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -384,19 +384,14 @@
     Settings settings = usualSettings();
     settings.nodes = 100;
     Driver d = fleet(settings, 1, 0.8);
-    Arrived request;
-    request.request = RequestId{1};
-    request.patience = 3200ms;
-    request.loadHint = 100'000;
-    d.give(request);
+    const RequestId first = d.askWithLoad(100'000);
     d.pass(100ms);
-    ASSERT_EQ(d.target(RequestId{1}), 1U);
-    d.establish(RequestId{1});
+    ASSERT_EQ(d.target(first), 1U);
+    d.establish(first);
     d.pass(4s);
-    request.request = RequestId{2};
-    d.give(request);
+    const RequestId second = d.askWithLoad(100'000);
     d.pass(100ms);
-    EXPECT_EQ(d.sends(RequestId{2}), 0) << "99 others have filled it since its figure was taken";
+    EXPECT_EQ(d.sends(second), 0) << "99 others have filled it since its figure was taken";
 }
 
 // A steady probe of a large fleet comes every 4.5 s: too late for one that piles up work.
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -381,17 +381,21 @@
     }
 }
 
+Settings oneOfAHundred(std::uint32_t node, std::uint64_t seed) {
+    Settings settings = usualSettings();
+    settings.nodes = 100;
+    settings.nodeIndex = node;
+    settings.seed = seed + node;
+    return settings;
+}
+
 // What 100 nodes send in 2 s to a cold host that stands about 7 a window, beside 19 warm ones at 0.5. Each
 // node holds 10 connections: 1,000 on 20 hosts at 0.5, so 100 fill one.
 int sentToACold(int requestsANode, Micros gap, std::uint64_t seed, double others = 0.5) {
     int sent = 0;
     for (std::uint32_t node = 0; node < 100; ++node) {
-        Settings settings = usualSettings();
-        settings.nodes = 100;
-        settings.nodeIndex = node;
-        settings.seed = seed + node;
         std::vector<HostEntry> entries;
-        Driver d{settings};
+        Driver d{oneOfAHundred(node, seed)};
         for (std::uint64_t id = 1; id <= 19; ++id) {
             d.load(id, 0.5);
             entries.push_back(host(id));
@@ -450,10 +454,7 @@
 double sentByIdleNodes(double units, std::uint64_t seed) {
     double sent = 0.0;
     for (std::uint32_t node = 0; node < 100; ++node) {
-        Settings settings = usualSettings();
-        settings.nodes = 100;
-        settings.nodeIndex = node;
-        settings.seed = seed + node;
+        Settings settings = oneOfAHundred(node, seed);
         settings.weightKind = WeightKind::Nominal;
         settings.rules = RuleFigures{16ms, 500ms, 0.16, 23s, 3.0, 2s, 10s};
         Driver d{settings};
@@ -467,13 +468,9 @@
         d.load(12, 0.0);
         d.list(entries);
         d.pass(2s + 20ms * node);
-        Arrived request;
-        request.request = RequestId{1};
-        request.patience = 3200ms;
-        request.loadHint = 50'000;
-        d.give(request);
+        const RequestId request = d.askWithLoad(50'000);
         d.pass(200ms);
-        if (d.target(RequestId{1}) == 12) sent += *request.loadHint;
+        if (d.target(request) == 12) sent += 50'000;
     }
     return sent;
 }
@@ -527,14 +524,10 @@
     Settings settings = usualSettings();
     settings.nodes = 1;
     Driver d = oneColdHost(settings);
-    Arrived heavy;
-    heavy.request = RequestId{1};
-    heavy.patience = 3200ms;
-    heavy.loadHint = 5e6;  // a host of two cores, the least to expect, has 2e6 in all
-    d.give(heavy);
+    const RequestId heavy = d.askWithLoad(5e6);  // a host of two cores, the least to expect, has 2e6 in all
     d.pass(1s);
-    EXPECT_EQ(d.sends(RequestId{1}), 0);
-    EXPECT_EQ(d.finals(RequestId{1}), 1);
+    EXPECT_EQ(d.sends(heavy), 0);
+    EXPECT_EQ(d.finals(heavy), 1);
     EXPECT_EQ(d.target(d.ask()), 1U) << "an ordinary one is taken";
 }
 
