--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -66,7 +66,7 @@
 constexpr double kHolderMore = 0.1;     // above the knee: a group's hosts take members, and moves start, here
 constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
 constexpr double kSlowKeeps = 0.5;      // of the knee: a slow host is relieved to so much, it may get slower
-constexpr double kCrossing = 0.2;       // on the weight of other zones' hosts while the own has room
+constexpr double kCrossingHalf = 0.005;  // price of a crossing that halves the weight of other zones' hosts
 constexpr double kZoneEasy = 65;        // per cent: up to here the own zone is preferred in full
 constexpr double kColdSafety = 0.8;     // part of the cold budget used: a fifth is left for chance
 constexpr double kUsualLoad = 40'000;   // us of work a second: 25 connections a core, until one is seen
@@ -519,7 +519,8 @@
         if (count == 0) return 1.0;
         const double used =
             std::clamp((sum / count - kZoneEasy) / (kFull * fleet_.knee - kZoneEasy), 0.0, 1.0);
-        return kCrossing + (1.0 - kCrossing) * used;
+        const double least = kCrossingHalf / (kCrossingHalf + s_.crossingPrice);
+        return least + (1.0 - least) * used;
     }
 
     double sentSince(const Host& host, bool elsewhere = true) const {
@@ -773,6 +774,7 @@
         double chance;  // in (0, 1), of this request or group and this host
         int members;    // this node's connections of the request's group there
         double race;    // -log of the chance
+        double home;    // 1 in the own zone
         double weight;
         double utilisation;
         bool askable;
@@ -855,24 +857,25 @@
             const bool here =
                 grouped(r) && members != members_.end() && members->first == std::pair(r.asked.group, id);
             const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
-            result.push_back({&host, chance, here ? members->second : 0, 0.0, 0.0, 0.0, false});
+            result.push_back({&host, chance, here ? members->second : 0, 0.0, 0.0, 0.0, 0.0, false});
         }
-        if (strict && grouped(r)) keepGroupHosts(result);
         weigh(result, r);
+        if (strict && grouped(r)) keepGroupHosts(result);
         return result;
     }
 
     void weigh(std::vector<Candidate>& candidates, const Request& r) const {
-        const double crossing = grouped(r) ? 1.0 : crossingFactor();
+        const double crossing = crossingFactor();
         for (Candidate& c : candidates) {
             const Host& host = *c.host;
             // Departure: the draw is discounted by recent success and by what the host carries. Prevents that
             // one which fails at once, or is cold, draws a full share on its low figure.
-            const double factor = host.trust * carries(host) * (host.entry.zone != s_.zone ? crossing : 1.0);
+            const double factor = host.trust * carries(host);
+            c.home = host.entry.zone == s_.zone ? 1.0 : crossing;
             c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
             c.askable = askable(host, r);
-            c.weight = factor * (c.askable ? kFull : kFull - c.utilisation - adds(host, r.load));
+            c.weight = c.home * factor * (c.askable ? kFull : kFull - c.utilisation - adds(host, r.load));
         }
     }
 
@@ -881,12 +884,12 @@
     // pays for it, and that a busy fleet so adds to its own load.
     static void keepGroupHosts(std::vector<Candidate>& candidates) {
         if (candidates.size() <= kGroupHosts) return;
-        std::vector<double> chances;
+        std::vector<double> races;
         for (const Candidate& c : candidates)
-            chances.push_back(c.chance);
-        std::nth_element(chances.begin(), chances.begin() + kGroupHosts - 1, chances.end(), std::greater<>());
-        const double last = chances[kGroupHosts - 1];
-        std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.chance < last; });
+            races.push_back(c.race / c.home);
+        std::nth_element(races.begin(), races.begin() + kGroupHosts - 1, races.end());
+        const double last = races[kGroupHosts - 1];
+        std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.race / c.home > last; });
     }
 
     // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
--- a/src/rules.hpp
+++ b/src/rules.hpp
@@ -83,6 +83,7 @@
     std::vector<ClassSettings> classes;
     std::vector<TenantSettings> tenants;
     double overShareWorth = 1.0;
+    double crossingPrice = 0.02;  // of a connection's worth, for one that crosses zones
     Limits limits;
     RuleFigures rules;
     ListMode listMode = ListMode::Push;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -203,6 +203,8 @@
                               {"rough", WeightKind::Rough},
                               {"live", WeightKind::Live}});
 
+    s.crossingPrice = root.section("prices").number("crossZone", s.crossingPrice, 0.0);
+
     const Section bounds = root.section("bounds");
     s.limits.attempts = static_cast<int>(bounds.number("attemptsCap", s.limits.attempts, 1, 255));
     s.limits.cancel = bounds.flag("cancel", s.limits.cancel);
