--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,46 +33,49 @@
 constexpr double kRateFirst = 1.0;          // arrivals a second at a node, until some were seen
 constexpr Micros kAskOlder = 2s;            // a figure older than two of the draft's changes is asked anew
 constexpr Micros kAskPatience = 150ms;      // several round trips; a host that answers later is passed over
-constexpr std::size_t kGroupHosts = 4;      // that a group may meet on: more would pay for it over and over
-constexpr std::size_t kAsks = 4;            // hosts asked for one request: over nine in ten draws end before
-constexpr Micros kConfirmEvery = 250ms;     // the draft's own interval (9.1.1), while a host is in doubt
-constexpr Micros kTick = 20ms;              // step of the node's own clock: far under any aim, cheap
-constexpr Micros kHostsEvery = 100ms;       // passes over all hosts: well under a figure's change
-constexpr Micros kNewFor = 5s;              // a node is new: longer than another one takes to stop
-constexpr Micros kReportLag = 700ms;        // how old the figures of a report usually are when it arrives
-constexpr int kProbeFailures = 2;           // probes in a row: one may be lost, two make a host unhealthy
-constexpr int kAttemptFailures = 3;         // attempts in a row: one or two may be chance
-constexpr double kTrustStep = 0.2;          // weight of one attempt in a host's success share: ~5 count
-constexpr double kTrustHealing = 0.1;       // weight of an answered probe: back to half trust in ~7 s
-constexpr double kStrainStep = 0.4;         // weight of one report, set-up or probe: two or three tell
-constexpr double kStrainLeast = 1.3;        // figures of usual hosts differ by less
-constexpr double kStrainMost = 10.0;        // a tenth of the usual: less is idle
-constexpr double kStrainPrior = 0.15;       // load over capacity: so little tells nothing of the strain
-constexpr double kSetupPrior = 5'000;       // us of setting up: so little tells nothing of it either
-constexpr double kSetupUsual = 2.0;         // times the mean: bursts alone make it so much
-constexpr double kProbeUsual = 1.5;         // times the mean: the way alone makes a probe so much longer,
-constexpr double kProbePrior = 2'000;       // and us: so little is chance
-constexpr double kTrustLeast = 0.05;        // a trickle, so that recovery is noticed
-constexpr Micros kEjectFirst = 1s;          // first ejection: about one round of reports
-constexpr Micros kEjectMost = 8s;           // longest ejection: a healed host is not left idle long
-constexpr double kEjectShare = 1.0 / 3;     // of the ready hosts: past that the rest would tip over
-constexpr double kKneeFirst = 0.75;         // load over capacity at which messages come late, until learned
-constexpr double kKneeLeast = 0.6;          // load over capacity: lower would waste a third of the fleet
-constexpr double kKneeMost = 0.9;           // load over capacity: figures are late by a swing or more
-constexpr double kKneeNear = 0.1;       // load over capacity: figures further off tell nothing of the knee
-constexpr double kKneeDown = 0.01;      // load over capacity, for a late figure near the knee
+constexpr double kGroupHosts = 2.0;         // that a group may meet on at least: one may be lost
+constexpr double kGroupRoom = 3.0;  // times the hosts that a group fills alone: it shares them with others
+constexpr std::size_t kGroupsKept = 4096;  // then counted anew: groups end, and memory has a bound
+constexpr double kPairsPrior = 40.0;       // pairs of arrivals, one of them alike: until some were seen
+constexpr std::size_t kAsks = 4;           // hosts asked for one request: over nine in ten draws end before
+constexpr Micros kConfirmEvery = 250ms;    // the draft's own interval (9.1.1), while a host is in doubt
+constexpr Micros kTick = 20ms;             // step of the node's own clock: far under any aim, cheap
+constexpr Micros kHostsEvery = 100ms;      // passes over all hosts: well under a figure's change
+constexpr Micros kNewFor = 5s;             // a node is new: longer than another one takes to stop
+constexpr Micros kReportLag = 700ms;       // how old the figures of a report usually are when it arrives
+constexpr int kProbeFailures = 2;          // probes in a row: one may be lost, two make a host unhealthy
+constexpr int kAttemptFailures = 3;        // attempts in a row: one or two may be chance
+constexpr double kTrustStep = 0.2;         // weight of one attempt in a host's success share: ~5 count
+constexpr double kTrustHealing = 0.1;      // weight of an answered probe: back to half trust in ~7 s
+constexpr double kStrainStep = 0.4;        // weight of one report, set-up or probe: two or three tell
+constexpr double kStrainLeast = 1.3;       // figures of usual hosts differ by less
+constexpr double kStrainMost = 10.0;       // a tenth of the usual: less is idle
+constexpr double kStrainPrior = 0.15;      // load over capacity: so little tells nothing of the strain
+constexpr double kSetupPrior = 5'000;      // us of setting up: so little tells nothing of it either
+constexpr double kSetupUsual = 2.0;        // times the mean: bursts alone make it so much
+constexpr double kProbeUsual = 1.5;        // times the mean: the way alone makes a probe so much longer,
+constexpr double kProbePrior = 2'000;      // and us: so little is chance
+constexpr double kTrustLeast = 0.05;       // a trickle, so that recovery is noticed
+constexpr Micros kEjectFirst = 1s;         // first ejection: about one round of reports
+constexpr Micros kEjectMost = 8s;          // longest ejection: a healed host is not left idle long
+constexpr double kEjectShare = 1.0 / 3;    // of the ready hosts: past that the rest would tip over
+constexpr double kKneeFirst = 0.75;        // load over capacity at which messages come late, until learned
+constexpr double kKneeLeast = 0.6;         // load over capacity: lower would waste a third of the fleet
+constexpr double kKneeMost = 0.9;          // load over capacity: figures are late by a swing or more
+constexpr double kKneeNear = 0.1;          // load over capacity: figures further off tell nothing of the knee
+constexpr double kKneeDown = 0.01;         // load over capacity, for a late figure near the knee
 constexpr double kKneeUp = 0.001;       // load over capacity, for a punctual one: rests at one late in eleven
 constexpr double kLateShare = 0.5;      // of the message aim: half of it in the mean leaves many beyond it
 constexpr double kHolderMore = 0.1;     // above the knee: a group's hosts take members, and moves start, here
 constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
 constexpr double kSlowKeeps = 0.5;      // of the knee: a slow host is relieved to so much, it may get slower
 constexpr double kCrossingHalf = 0.005;  // price of a crossing that halves the weight of other zones' hosts
-constexpr double kZoneEasy = 65;        // per cent: up to here the own zone is preferred in full
-constexpr double kColdSafety = 0.8;     // part of the cold budget used: a fifth is left for chance
-constexpr double kUsualLoad = 40'000;   // us of work a second: 25 connections a core, until one is seen
-constexpr double kLoadStep = 0.05;      // weight of one load note in the mean of a class
-constexpr double kLeastCapacity = 2e6;  // us of work a second: two cores, the smallest host to expect
-constexpr double kMostCapacity = 64e6;  // us of work a second: a node that just started sees little
+constexpr double kZoneEasy = 65;         // per cent: up to here the own zone is preferred in full
+constexpr double kColdSafety = 0.8;      // part of the cold budget used: a fifth is left for chance
+constexpr double kUsualLoad = 40'000;    // us of work a second: 25 connections a core, until one is seen
+constexpr double kLoadStep = 0.05;       // weight of one load note in the mean of a class
+constexpr double kLeastCapacity = 2e6;   // us of work a second: two cores, the smallest host to expect
+constexpr double kMostCapacity = 64e6;   // us of work a second: a node that just started sees little
 constexpr double kMiddlingCapacity = 11e6;  // us of work a second: the geometric mean of the two
 constexpr double kCore = 1e6;               // us of work a second: sizes in the list count in these
 constexpr Micros kSizeOver = 60s;           // hosts do not change; which of them are listed does
@@ -697,6 +700,13 @@
         r.most = s_.limits.attempts;
         r.arrivedAt = now_;
         r.load = expectedLoad(asked);
+        if (!grouped(r)) return;
+        if (arrivedOf_.size() >= kGroupsKept) {
+            arrivedOf_.clear();
+            alikePairs_ = arrivals_ = 0.0;
+        }
+        alikePairs_ += 2.0 * arrivedOf_[asked.group]++;
+        ++arrivals_;
     }
 
     void on(const AlreadyOpen& e) {
@@ -796,7 +806,7 @@
         const bool choosy = mayRefuse(r);
         if (choosy && std::none_of(candidates.begin(), candidates.end(), open)) return nullptr;
         if (choosy && (busy() || grouped(r)))
-            std::erase_if(candidates, [&](const Candidate& c) { return !room(c, grouped(r) ? more : knee); });
+            std::erase_if(candidates, [&](const Candidate& c) { return !open(c); });
         Candidate& first = *leader(candidates);
         if (first.askable) {
             askFor(*first.host, r);
@@ -857,10 +867,11 @@
             const bool here =
                 grouped(r) && members != members_.end() && members->first == std::pair(r.asked.group, id);
             const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
-            result.push_back({&host, chance, here ? members->second : 0, 0.0, 0.0, 0.0, 0.0, false});
+            result.push_back(
+                {&host, chance, here && busy() ? members->second : 0, 0.0, 0.0, 0.0, 0.0, false});
         }
         weigh(result, r);
-        if (strict && grouped(r)) keepGroupHosts(result);
+        if (strict && grouped(r) && busy()) keepGroupHosts(result);
         return result;
     }
 
@@ -879,17 +890,23 @@
         }
     }
 
-    // Departure: a group meets on a few hosts, the first in the race before any weight, and where this node
-    // has members. Prevents that nodes whose figures differ scatter a group over the fleet, where each host
-    // pays for it, and that a busy fleet so adds to its own load.
-    static void keepGroupHosts(std::vector<Candidate>& candidates) {
-        if (candidates.size() <= kGroupHosts) return;
+    // Departure: on a busy fleet a group meets on a few hosts, the first in its race before any weight, and
+    // those where this node has members. How many follows the part of all arrivals that one group makes, as
+    // this node has seen it: a group that fills many hosts has as many. Prevents that nodes whose figures
+    // differ scatter the groups over the fleet, where each host pays for them, and that a busy fleet so adds
+    // to its own load. One with room is better off in even shares.
+    void keepGroupHosts(std::vector<Candidate>& candidates) const {
+        const double alike = (alikePairs_ + 1.0) / (arrivals_ * (arrivals_ - 1.0) + kPairsPrior);
+        const double most = kGroupRoom * alike * static_cast<double>(hosts_.size());
+        const auto kept = static_cast<std::ptrdiff_t>(std::ceil(std::max(kGroupHosts, most)));
+        if (std::ssize(candidates) <= kept) return;
         std::vector<double> races;
         for (const Candidate& c : candidates)
             races.push_back(c.race / c.home);
-        std::nth_element(races.begin(), races.begin() + kGroupHosts - 1, races.end());
-        const double last = races[kGroupHosts - 1];
-        std::erase_if(candidates, [last](const Candidate& c) { return c.members == 0 && c.race / c.home > last; });
+        std::nth_element(races.begin(), races.begin() + kept - 1, races.end());
+        const double last = races[static_cast<std::size_t>(kept) - 1];
+        std::erase_if(candidates,
+                      [last](const Candidate& c) { return c.members == 0 && c.race / c.home > last; });
     }
 
     // Departure, group-keyed draw: where every host that holds any of a group pays for it, the draw's random
@@ -1215,6 +1232,9 @@
     Requests requests_;
     std::set<RequestId> unopened_;                       // those that have no connection yet
     std::map<std::pair<GroupId, HostId>, int> members_;  // this node's connections of a group, by host
+    std::map<GroupId, int> arrivedOf_;                   // arrivals of each group,
+    double alikePairs_ = 0.0;                            // pairs of them in one group,
+    double arrivals_ = 0.0;                              // and all
     std::vector<int> tenantOpen_;                        // this node's open connections, by tenant
     double meanUtilisation_ = kUnknownUtilisation;
     double loadShare_ = 1.0 / kMiddlingCapacity;  // of a host's capacity, for one unit of load
--- a/tests/draw_test.cpp
+++ b/tests/draw_test.cpp
@@ -79,11 +79,11 @@
 TEST(Draw, OverGroupsTheSharesFollowTheSameWeights) {
     Settings settings = usualSettings();
     settings.groupsShareWork = true;
-    Driver d = fleet(settings, {0.50, 0.75, 0.10});
+    Driver d = fleet(settings, {0.50, 0.70, 0.10});
     const auto share = shares(d, kDraws, true);
-    EXPECT_NEAR(share.at(1), 50.0 / 165, kBound);
-    EXPECT_NEAR(share.at(2), 25.0 / 165, kBound);
-    EXPECT_NEAR(share.at(3), 90.0 / 165, kBound);
+    EXPECT_NEAR(share.at(1), 50.0 / 170, kBound);
+    EXPECT_NEAR(share.at(2), 30.0 / 170, kBound);
+    EXPECT_NEAR(share.at(3), 90.0 / 170, kBound);
 }
 
 TEST(Draw, AGroupMeetsOnOneHostAtEveryNode) {
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 
 #include "driver.hpp"
 
@@ -328,7 +329,7 @@
 int placedOfSixty(Driver& d, Arrived client = {}) {
     int placed = 0;
     client.patience = 3200ms;
-    for (std::uint64_t i = 0; i < 60; ++i) {
+    for (std::uint64_t i = 0; i < 200; ++i) {
         client.request = RequestId{6000 + i};
         d.pass(5ms);
         d.give(client);
@@ -610,6 +611,37 @@
     EXPECT_LE(targets.size(), 4U);
 }
 
+// Hosts that one group is sent to on a busy fleet whose figures change, after arrivals of other groups.
+std::size_t hostsOfAGroup(std::uint64_t otherGroups) {
+    Settings settings = usualSettings();
+    settings.nodes = 1;
+    settings.groupsShareWork = true;
+    Driver d = fleet(settings, 12, 0.7);
+    const auto come = [&d](std::uint64_t group) {
+        const RequestId request = d.ask(group);
+        const std::uint64_t target = d.target(request);
+        d.end(request, Outcome::Ok, true);
+        return target;
+    };
+    for (std::uint64_t i = 0; i < 200; ++i)
+        come(otherGroups == 0 ? 1 : 1000 + i % otherGroups);
+    std::set<std::uint64_t> targets;
+    for (std::uint64_t round = 0; round < 40; ++round) {
+        for (std::uint64_t id = 1; id <= 12; ++id)
+            d.load(id, (id * 5 + round * 7) % 12 < 6 ? 0.82 : 0.6);
+        d.pass(1500ms);
+        targets.insert(come(1));
+    }
+    targets.erase(0);
+    return targets.size();
+}
+
+// Guards against refusing a group that needs more hosts than a fixed few, while others stand idle.
+TEST(Groups, OnABusyFleetALargeGroupHasMoreHostsThanASmallOne) {
+    EXPECT_LE(hostsOfAGroup(200), 3U);
+    EXPECT_GE(hostsOfAGroup(0), 5U);
+}
+
 // ---- zones ----
 
 double ownShare(double ownLoad) {
@@ -634,6 +666,31 @@
     EXPECT_NEAR(ownShare(0.84), 0.5, 0.05);
 }
 
+// Guards against paying for crossings that no lack of room asks for: half of all connections in groups.
+TEST(Zones, GroupsKeepToTheOwnZoneAsFarAsACrossingIsDear) {
+    const auto crossing = [](double price) {
+        Settings settings = usualSettings();
+        settings.nodes = 1;
+        settings.groupsShareWork = true;
+        settings.crossingPrice = price;
+        Driver d{settings};
+        for (std::uint64_t id = 1; id <= 8; ++id)
+            d.load(id, 0.3);
+        d.list(
+            {host(1, 0), host(2, 0), host(3, 0), host(4, 0), host(5, 1), host(6, 1), host(7, 1), host(8, 1)});
+        int there = 0;
+        for (std::uint64_t group = 1; group <= 1000; ++group) {
+            const RequestId request = d.ask(group);
+            there += d.target(request) > 4 ? 1 : 0;
+            d.end(request, Outcome::Ok, true);
+        }
+        return there / 1000.0;
+    };
+    EXPECT_NEAR(crossing(0.0), 0.5, 0.07);
+    EXPECT_NEAR(crossing(0.02), 0.17, 0.05);
+    EXPECT_LT(crossing(0.13), 0.07);
+}
+
 // ---- moves ----
 
 TEST(Moves, AnOverdrivenHostIsRelievedInSteps) {
