The knee begins lower where the goal goes by nines; other locations by distance from it

And crossingFactor() divided by knee - 0.65, which is no more than 0 where the knee is low: all preference was gone there.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,7 +26,7 @@
 constexpr Micros kFreshFor = 5s;            // the draft's age at which a figure no longer counts (9.1.2)
 constexpr Micros kProbeEvery = 1s;          // the draft lets a figure change once a second (9.2.1)
 constexpr Micros kProbeMost = 4500ms;       // a late answer still comes before the figure is 5 s old
-constexpr double kProbesPerRequest = 4.0;   // steady probes of hosts that hold nothing of this node: no more
+constexpr double kProbesPerRequest = 1.0;   // steady probes of hosts that hold nothing of this node: no more
 constexpr Micros kRecent = 2s;              // span of a node's own sends that tells what others send now
 constexpr double kFewSends = 4.0;           // fewer tell nothing of what the others send
 constexpr Micros kRateOver = 10s;           // span over which a node knows its own arrivals
@@ -61,16 +61,18 @@
 constexpr double kEjectShare = 1.0 / 3;    // of the ready hosts: past that the rest would tip over
 constexpr double kKneeFirst = 0.75;        // load over capacity at which messages come late, until learned
 constexpr double kKneeLeast = 0.6;         // load over capacity: lower would waste a third of the fleet
-constexpr double kKneeMost = 0.9;          // load over capacity: figures are late by a swing or more
-constexpr double kKneeNear = 0.1;          // load over capacity: figures further off tell nothing of the knee
-constexpr double kKneeDown = 0.01;         // load over capacity, for a late figure near the knee
-constexpr double kKneeUp = 0.001;       // load over capacity, for a punctual one: rests at one late in eleven
-constexpr double kLateShare = 0.5;      // of the message aim: half of it in the mean leaves many beyond it
-constexpr double kHolderMore = 0.1;     // above the knee: a group's hosts take members, and moves start, here
-constexpr double kRelieveBelow = 0.05;  // load over capacity: moves take a host this far under the knee
-constexpr double kSlowKeeps = 0.5;      // of the knee: a slow host is relieved to so much, it may get slower
+constexpr double kKneeNines = 0.25;  // lower by so much of the goal's part by nines: few late ones cost much
+constexpr double kKneeMost = 0.9;    // load over capacity: figures are late by a swing or more
+constexpr double kKneeNear = 0.1;    // load over capacity: figures further off tell nothing of the knee
+constexpr double kKneeDown = 0.01;   // load over capacity, for a late figure near the knee
+constexpr double kKneeUp = 0.001;    // load over capacity, for a punctual one: rests at one late in eleven
+constexpr double kLateShare = 0.5;   // of the message aim: half of it in the mean leaves many beyond it
+constexpr double kHolderMore = 0.1;  // above the knee: a group's hosts take members, and moves start, here
+constexpr double kRelieveBelow = 0.05;   // load over capacity: moves take a host this far under the knee
+constexpr double kSlowKeeps = 0.5;       // of the knee: a slow host is relieved to so much, it may get slower
 constexpr double kCrossingHalf = 0.005;  // price of a crossing that halves the weight of other zones' hosts
-constexpr double kZoneEasy = 65;         // per cent: up to here the own zone is preferred in full
+constexpr double kZoneBelow = 0.2;       // load over capacity: from so far under the knee others are let in,
+constexpr double kZoneDear = 0.03;       // and from the nearer the further a crossing costs more than this
 constexpr double kColdSafety = 0.8;      // part of the cold budget used: a fifth is left for chance
 constexpr double kUsualLoad = 40'000;    // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;       // weight of one load note in the mean of a class
@@ -175,6 +177,7 @@
         useSettings();
         // A group's hosts take members above the knee: it starts that much lower.
         if (!s_.groupsShareWork) fleet_.knee += kHolderMore;
+        fleet_.knee -= kKneeNines * s_.goalNines;
     }
 
     void handle(Time now, const Event& event, std::vector<Action>& actions) override {
@@ -520,8 +523,8 @@
             ++count;
         }
         if (count == 0) return 1.0;
-        const double used =
-            std::clamp((sum / count - kZoneEasy) / (kFull * fleet_.knee - kZoneEasy), 0.0, 1.0);
+        const double below = kZoneBelow * std::min(1.0, kZoneDear / s_.crossingPrice);
+        const double used = std::clamp((sum / count / kFull - fleet_.knee) / below + 1.0, 0.0, 1.0);
         const double least = kCrossingHalf / (kCrossingHalf + s_.crossingPrice);
         return least + (1.0 - least) * used;
     }
--- a/src/rules.hpp
+++ b/src/rules.hpp
@@ -84,6 +84,7 @@
     std::vector<TenantSettings> tenants;
     double overShareWorth = 1.0;
     double crossingPrice = 0.02;  // of a connection's worth, for one that crosses zones
+    double goalNines = 0.0;       // part of the goal that counts how many tenfold steps the unserved is down
     Limits limits;
     RuleFigures rules;
     ListMode listMode = ListMode::Push;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -204,6 +204,7 @@
                               {"live", WeightKind::Live}});
 
     s.crossingPrice = root.section("prices").number("crossZone", s.crossingPrice, 0.0);
+    s.goalNines = root.section("goal").number("availability", s.goalNines, 0.0, 1.0);
 
     const Section bounds = root.section("bounds");
     s.limits.attempts = static_cast<int>(bounds.number("attemptsCap", s.limits.attempts, 1, 255));
