--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -26,7 +26,7 @@
 constexpr Micros kFreshFor = 5s;            // the draft's age at which a figure no longer counts (9.1.2)
 constexpr Micros kProbeEvery = 1s;          // the draft lets a figure change once a second (9.2.1)
 constexpr Micros kProbeMost = 4500ms;       // a late answer still comes before the figure is 5 s old
-constexpr double kProbesPerRequest = 1.0;   // steady probes of hosts that hold nothing of this node: no more
+constexpr double kProbesPerRequest = 2.0;   // steady probes of hosts that hold nothing of this node: no more
 constexpr Micros kRecent = 2s;              // span of a node's own sends that tells what others send now
 constexpr double kFewSends = 4.0;           // fewer tell nothing of what the others send
 constexpr Micros kRateOver = 10s;           // span over which a node knows its own arrivals
@@ -71,8 +71,9 @@
 constexpr double kRelieveBelow = 0.05;   // load over capacity: moves take a host this far under the knee
 constexpr double kSlowKeeps = 0.5;       // of the knee: a slow host is relieved to so much, it may get slower
 constexpr double kCrossingHalf = 0.005;  // price of a crossing that halves the weight of other zones' hosts
-constexpr double kZoneBelow = 0.2;       // load over capacity: from so far under the knee others are let in,
-constexpr double kZoneDear = 0.03;       // and from the nearer the further a crossing costs more than this
+constexpr double kZoneEasy = 0.65;       // load over capacity: up to here the own zone is preferred in full,
+constexpr double kZoneBelow = 0.05;      // or so far under the knee where that is low,
+constexpr double kZoneDear = 0.03;       // and nearer to it where a crossing costs more than this
 constexpr double kColdSafety = 0.8;      // part of the cold budget used: a fifth is left for chance
 constexpr double kUsualLoad = 40'000;    // us of work a second: 25 connections a core, until one is seen
 constexpr double kLoadStep = 0.05;       // weight of one load note in the mean of a class
@@ -523,7 +524,8 @@
             ++count;
         }
         if (count == 0) return 1.0;
-        const double below = kZoneBelow * std::min(1.0, kZoneDear / s_.crossingPrice);
+        const double below =
+            std::max(fleet_.knee - kZoneEasy, kZoneBelow) * std::min(1.0, kZoneDear / s_.crossingPrice);
         const double used = std::clamp((sum / count / kFull - fleet_.knee) / below + 1.0, 0.0, 1.0);
         const double least = kCrossingHalf / (kCrossingHalf + s_.crossingPrice);
         return least + (1.0 - least) * used;
