--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,18 +49,19 @@
 constexpr double kTrustHealing = 0.1;      // weight of an answered probe: back to half trust in ~7 s
 constexpr double kStrainStep = 0.4;        // weight of one report, set-up or probe: two or three tell
 constexpr double kStrainLeast = 1.3;       // figures of usual hosts differ by less
-constexpr double kStrainMost = 10.0;       // a tenth of the usual: less is idle
-constexpr double kStrainPrior = 0.15;      // load over capacity: so little tells nothing of the strain
-constexpr double kSetupPrior = 5'000;      // us of setting up: so little tells nothing of it either
-constexpr double kSetupUsual = 2.0;        // times the mean: bursts alone make it so much
-constexpr double kProbeUsual = 1.5;        // times the mean: the way alone makes a probe so much longer,
-constexpr double kProbePrior = 2'000;      // and us: so little is chance
-constexpr double kTrustLeast = 0.05;       // a trickle, so that recovery is noticed
-constexpr Micros kEjectFirst = 1s;         // first ejection: about one round of reports
-constexpr Micros kEjectMost = 8s;          // longest ejection: a healed host is not left idle long
-constexpr double kEjectShare = 1.0 / 3;    // of the ready hosts: past that the rest would tip over
-constexpr double kKneeFirst = 0.75;        // load over capacity at which messages come late, until learned
-constexpr double kKneeLeast = 0.6;         // load over capacity: lower would waste a third of the fleet
+constexpr double kStrainGroups = 3.0;  // where groups share work: what a member adds depends on who is there
+constexpr double kStrainMost = 10.0;   // a tenth of the usual: less is idle
+constexpr double kStrainPrior = 0.15;  // load over capacity: so little tells nothing of the strain
+constexpr double kSetupPrior = 5'000;  // us of setting up: so little tells nothing of it either
+constexpr double kSetupUsual = 2.0;    // times the mean: bursts alone make it so much
+constexpr double kProbeUsual = 1.5;    // times the mean: the way alone makes a probe so much longer,
+constexpr double kProbePrior = 2'000;  // and us: so little is chance
+constexpr double kTrustLeast = 0.05;   // a trickle, so that recovery is noticed
+constexpr Micros kEjectFirst = 1s;     // first ejection: about one round of reports
+constexpr Micros kEjectMost = 8s;      // longest ejection: a healed host is not left idle long
+constexpr double kEjectShare = 1.0 / 3;  // of the ready hosts: past that the rest would tip over
+constexpr double kKneeFirst = 0.75;      // load over capacity at which messages come late, until learned
+constexpr double kKneeLeast = 0.6;       // load over capacity: lower would waste a third of the fleet
 constexpr double kKneeNines = 0.25;  // lower by so much of the goal's part by nines: few late ones cost much
 constexpr double kKneeMost = 0.9;    // load over capacity: figures are late by a swing or more
 constexpr double kKneeNear = 0.1;    // load over capacity: figures further off tell nothing of the knee
@@ -610,13 +611,15 @@
     // What a host carries of what a usual one does.
     double carries(const Host& host) const { return warmth(host) / (slow(host) ? strainOf(host) : 1.0); }
     static double strainOf(const Host& host) { return std::max(host.strain, host.setup); }
-    static bool slow(const Host& host) { return strainOf(host) >= kStrainLeast; }
+    bool slow(const Host& host) const {
+        return strainOf(host) >= (s_.groupsShareWork ? kStrainGroups : kStrainLeast);
+    }
 
     // Departure, slow hosts: one whose figure stands far above what its connections would cost a usual host
     // draws, and is charged, by what it carries. Prevents that it is overfilled and emptied by turns.
     void learnStrain(Host& host) {
         const double open = host.ownOpen - static_cast<double>(host.recent.size());
-        if (open <= 0 || s_.groupsShareWork) return;  // what members add depends on who is there
+        if (open <= 0) return;
         const double shown = host.ownLoad - sentSince(host);
         const double all = host.active > 0 ? host.active * shown / open : shown * s_.nodes;
         const double usual = all * loadShare_ / warmth(host);
@@ -626,7 +629,6 @@
 
     // The same by how long setting up takes beside the way: that tells of an empty host too, and at once.
     void learnSetup(Host& host, Micros waited) {
-        if (s_.groupsShareWork) return;
         const double took = std::max(0.0, static_cast<double>(waited.count()) - 2.0 * host.wayUs);
         const double most = kSetupUsual * fleet_.usualSetup + kSetupPrior;
         fleet_.usualSetup += (std::min(took, most) - fleet_.usualSetup) * kLoadStep;
--- a/tests/module_test.cpp
+++ b/tests/module_test.cpp
@@ -308,6 +308,20 @@
     EXPECT_GT(d.sendsTo(1) - slow, 180) << "well again";
 }
 
+// Guards against a host many times slower than others that is filled like them wherever connections share
+// work; half as slow again may be the work of groups.
+TEST(Accounting, WhereGroupsShareWorkOnlyAHostThatIsSlowManyTimesDrawsLess) {
+    const auto sends = [](Micros setUp) {
+        Settings settings = usualSettings();
+        settings.groupsShareWork = true;
+        Driver d = fleet(settings, 4, 0.2);
+        serveWithSetUps(d, 400, setUp);
+        return d.sendsTo(1);
+    };
+    EXPECT_LT(sends(200ms), 50) << "a quarter would be 100";
+    EXPECT_GT(sends(30ms), 75);
+}
+
 // One that is at 0.6 has room for a connection of half a host no more; one at 0.2 has.
 TEST(Draw, AHeavyConnectionGoesWhereItFits) {
     int fits = 0;
