--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -686,10 +686,7 @@
         r.arrivedAt = now_;
         r.load = expectedLoad(asked);
         if (!grouped(r)) return;
-        if (arrivedOf_.size() >= kGroupsKept) {
-            arrivedOf_.clear();
-            alikePairs_ = arrivals_ = 0.0;
-        }
+        if (arrivedOf_.size() >= kGroupsKept) alikePairs_ = arrivals_ = 0.0, arrivedOf_.clear();
         alikePairs_ += 2.0 * arrivedOf_[asked.group]++;
         ++arrivals_;
     }
@@ -1018,14 +1015,11 @@
         place(e.request, r);
     }
 
-    static bool tells(Outcome outcome) {  // of how the host does, beyond this request
-        return outcome != Outcome::Cancelled && outcome != Outcome::Moot && outcome != Outcome::Full;
-    }
-
     void judge(Host& host, Outcome outcome) {
-        if (!tells(outcome)) return;
         if (outcome == Outcome::Ok) return wentWell(host);
-        wentWrong(host);
+        // Called off, or turned away: that tells nothing of how the host does.
+        if (outcome != Outcome::Cancelled && outcome != Outcome::Moot && outcome != Outcome::Full)
+            wentWrong(host);
     }
 
     void on(const ClientLeft& e) {
