--- a/src/config.cpp
+++ b/src/config.cpp
@@ -66,8 +66,10 @@
     const std::set<std::string> left = keysOf(now);
     for (const std::string& key : keysOf(before)) {
         const std::string at = path.empty() ? key : path + "." + key;
-        if (!left.contains(key) && mayBeGone(at)) continue;
-        if (!left.contains(key)) return at;
+        if (!left.contains(key)) {
+            if (mayBeGone(at)) continue;
+            return at;
+        }
         if (!before.is_object() || at == "known") continue;  // the hosts come and go
         if (auto deeper = gone(before.at(key), now.at(key), at)) return deeper;
     }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
-#include <functional>
 #include <map>
 #include <numeric>
 #include <set>
@@ -686,7 +685,10 @@
         r.arrivedAt = now_;
         r.load = expectedLoad(asked);
         if (!grouped(r)) return;
-        if (arrivedOf_.size() >= kGroupsKept) alikePairs_ = arrivals_ = 0.0, arrivedOf_.clear();
+        if (arrivedOf_.size() >= kGroupsKept) {
+            arrivedOf_.clear();
+            alikePairs_ = arrivals_ = 0.0;
+        }
         alikePairs_ += 2.0 * arrivedOf_[asked.group]++;
         ++arrivals_;
     }
@@ -764,10 +766,9 @@
 
     struct Candidate {
         Host* host;
-        double chance;  // in (0, 1), of this request or group and this host
-        int members;    // this node's connections of the request's group there
-        double race;    // -log of the chance
-        double home;    // 1 in the own zone
+        int members;  // this node's connections of the request's group there, as far as they count now
+        double race;  // -log of the chance of this request or group and this host
+        double home;  // 1 in the own zone
         double weight;
         double utilisation;
         bool askable;
@@ -784,8 +785,9 @@
         // places everything and serves nobody within the message aim.
         const double knee = kFull * fleet_.knee;
         const double more = kFull * (fleet_.knee + kHolderMore);
-        const auto room = [](const Candidate& c, double limit) { return c.askable || c.utilisation < limit; };
-        const auto open = [&](const Candidate& c) { return room(c, c.members > 0 ? more : knee); };
+        const auto open = [&](const Candidate& c) {
+            return c.askable || c.utilisation < (c.members > 0 ? more : knee);
+        };
         const bool choosy = mayRefuse(r);
         if (choosy && std::none_of(candidates.begin(), candidates.end(), open)) return nullptr;
         if (choosy && (busy() || grouped(r)))
@@ -836,25 +838,24 @@
     }
 
     std::vector<Candidate> candidatesFor(const Request& r, bool strict) {
+        const bool meets = grouped(r) && busy();
         const std::uint64_t key = mix(drawKey(r));
         auto members = members_.lower_bound({r.asked.group, HostId{0}});
         std::vector<Candidate> result;
         for (Host& host : hosts_) {
             if (!usable(host) || !coldRoom(host) || !mayGo(r, host) || spared(r, host)) continue;
             const HostId id = host.entry.id;
-            const bool tried = std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end();
-            if (strict && tried) continue;
+            if (strict && std::find(r.tried.begin(), r.tried.end(), id) != r.tried.end()) continue;
             if (strict && asked(host, r) && !known(host) && !askable(host, r)) continue;  // it stayed silent
-            while (members != members_.end() && members->first < std::pair(r.asked.group, id))
+            const std::pair there(r.asked.group, id);
+            while (members != members_.end() && members->first < there)
                 ++members;
-            const bool here =
-                grouped(r) && members != members_.end() && members->first == std::pair(r.asked.group, id);
+            const bool here = meets && members != members_.end() && members->first == there;
             const double chance = unitInterval(mix(key ^ mix(static_cast<std::uint64_t>(id) + 1)));
-            result.push_back(
-                {&host, chance, here && busy() ? members->second : 0, 0.0, 0.0, 0.0, 0.0, false});
+            result.push_back({&host, here ? members->second : 0, -std::log(chance), 0.0, 0.0, 0.0, false});
         }
         weigh(result, r);
-        if (strict && grouped(r) && busy()) keepGroupHosts(result);
+        if (strict && meets) keepGroupHosts(result);
         return result;
     }
 
@@ -866,7 +867,6 @@
             // one which fails at once, or is cold, draws a full share on its low figure.
             const double factor = host.trust * carries(host);
             c.home = host.entry.zone == s_.zone ? 1.0 : crossing;
-            c.race = -std::log(c.chance);
             c.utilisation = utilisation(host);
             c.askable = askable(host, r);
             c.weight = c.home * factor * (c.askable ? kFull : kFull - c.utilisation - adds(host, r.load));
@@ -1190,7 +1190,7 @@
     }
 
     Settings s_;
-    FleetKnowledge fleet_{.knee = kKneeFirst, .rate = kRateFirst};
+    FleetKnowledge fleet_{.rate = kRateFirst};
     Random random_;
     Micros tick_{kTick};
     Micros hostsEvery_{kHostsEvery};
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -21,11 +21,24 @@
     return opening.replace(opening.find("c=chat"), 6, "c=" + cls);
 }
 
-void takes(Node& node, const Node::Options& options) {
-    node.reload(options);
+void takes(Node& node, const std::string& text) {
+    node.reload(text);
     node.logged("configuration read again");
 }
 
+void takes(Node& node, const Node::Options& options) {
+    takes(node, Node::config(options));
+}
+
+std::string replaced(std::string text, const std::string& what, const std::string& instead) {
+    const std::size_t at = text.find(what);
+    if (at == std::string::npos) {
+        ADD_FAILURE() << "not in the configuration: " << what;
+        return text;
+    }
+    return text.replace(at, what.size(), instead);
+}
+
 TEST(Reload, AClassIsAddedAndAnotherDropped) {
     ToyHost host;
     Node::Options options = watched(host);
@@ -84,10 +97,7 @@
     Node node{options};
     const std::string sound = Node::config(options);
     const auto with = [&sound](const std::string& what, const std::string& instead) {
-        std::string text = sound;
-        const std::size_t at = text.find(what);
-        EXPECT_NE(at, std::string::npos) << what;
-        return text.replace(at, what.size(), instead);
+        return replaced(sound, what, instead);
     };
     std::vector<std::string> broken = {
         "",
@@ -153,18 +163,18 @@
 // groups.
 std::string otherShape(const Node::Options& options) {
     std::string text = Node::config(options);
-    const auto put = [&text](const std::string& what, const std::string& instead) {
-        const std::size_t at = text.find(what);
-        ASSERT_NE(at, std::string::npos) << what;
-        text.replace(at, what.size(), instead);
+    const std::pair<const char*, const char*> changes[] = {
+        {"\"instances\":1", "\"instances\":21,\"me\":7,\"zone\":1"},
+        {"\"registryMode\":\"ask\"", "\"registryMode\":\"push\""},
+        {"[\"a\"]", "[\"b\",\"a\"]"},
+        {"\"attemptsCap\":4", "\"attemptsCap\":3"},
+        {"\"drainGrace\":500000", "\"drainGrace\":400000"},
+        {"\"grades\"", R"("prices":{"crossZone":0.13},"goal":{"availability":0.3,"topNines":3.0,"whole":0.1},
+        "familyInfo":{"groups":true},"grades")"},
     };
-    put("\"instances\":1", "\"instances\":21,\"me\":7,\"zone\":1");
-    put("\"registryMode\":\"ask\"", "\"registryMode\":\"push\"");
-    put("[\"a\"]", "[\"b\",\"a\"]");
-    put("\"attemptsCap\":4", "\"attemptsCap\":3");
-    put("\"drainGrace\":500000", "\"drainGrace\":400000");
-    put("\"grades\"", R"("prices":{"crossZone":0.13},"goal":{"availability":0.3,"topNines":3.0,"whole":0.1},
-        "familyInfo":{"groups":true},"grades")");
+    for (const auto& [what, instead] : changes) {
+        text = replaced(text, what, instead);
+    }
     return text;
 }
 
@@ -174,32 +184,23 @@
     ToyHost host;
     Node::Options options = watched(host);
     Node node{options};
-    const std::string old = [&options] {
-        std::string text = Node::config(options);
-        text.replace(text.find("\"instances\":1"), 13, R"("instances":1,"me":0,"zone":0)");
-        return text.replace(
-            text.find("\"grades\""), 8,
-            R"("prices":{"crossZone":0.02},"goal":{"whole":1},"familyInfo":{"groups":false},"grades")");
-    }();
+    const std::string old = replaced(
+        replaced(Node::config(options), "\"instances\":1", R"("instances":1,"me":0,"zone":0)"), "\"grades\"",
+        R"("prices":{"crossZone":0.02},"goal":{"whole":1},"familyInfo":{"groups":false},"grades")");
     const std::string next = otherShape(options);
-    const auto load = [&node](const std::string& text) {
-        node.reload(text);
-        node.logged("configuration read again");
-    };
-    load(old);
+    takes(node, old);
     Pair first = up(node, host);
     Wire asked = node.client(newOpening());
     auto out = host.next();
-    load(next);
+    takes(node, next);
     out.wire.say("UP r2\r\n");
     EXPECT_EQ(asked.line(), "UP r2") << "under way at the switch";
     Pair second = up(node, host);
     Wire askedThen = node.client(newOpening());
     auto outThen = host.next();
-    std::string broken = next;
-    node.reload(broken.replace(broken.find("0.13"), 4, "-0.1"));
+    node.reload(replaced(next, "0.13", "-0.1"));
     node.logged("settings at prices.crossZone: out of range");
-    load(old);
+    takes(node, old);
     outThen.wire.say("UP r4\r\n");
     EXPECT_EQ(askedThen.line(), "UP r4") << "under way at the way back";
     Pair third = up(node, host);
@@ -223,8 +224,7 @@
     Node node{options};
     auto watch = discovery.next();
     watch.begin();
-    node.reload(otherShape(options));
-    node.logged("configuration read again");
+    takes(node, otherShape(options));
     watch.wire.reset();
     EXPECT_NE(discovery.next().request.find("/catalog/members"), std::string::npos) << "watched again";
 }
