Signals that come while a node starts are followed instead of ending it

Cause, read in src/main.cpp and src/node.cpp: the signals were blocked by Node::openSignals, called by the constructor of the last member. Until then (the configuration is read, a running node is asked for its estate for up to a second) SIGHUP, SIGTERM and SIGUSR1 had their default action: the process ended, which operators count as a crash. A restart beside a new configuration is where both meet.

Ruled out: SIGPIPE, ignored before anything is written; signals between the block and the first read, which stay pending.

main() holds the signals back before anything else. The test puts a FIFO where the configuration is, so that the node is held just there, sends SIGHUP, SIGUSR1 and SIGTERM and then lets it read: it serves, reloads, prints, stops. Without the call the test ends with the node killed by the signal.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,6 +24,7 @@
 }  // namespace
 
 int main() {
+    holdSignals();  // a restart or a new configuration may be told while this one still starts
     spdlog::set_default_logger(spdlog::stderr_logger_st("ivyreel"));
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -23,8 +23,22 @@
 constexpr Micros kListPoll = 10ms;
 constexpr std::size_t kUnwatched = 8;  // descriptors that are not watched: the log, epoll and the like
 
+sigset_t followedSignals() {
+    sigset_t followed;
+    sigemptyset(&followed);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) {
+        sigaddset(&followed, number);
+    }
+    return followed;
+}
+
 }  // namespace
 
+void holdSignals() {
+    const sigset_t followed = followedSignals();
+    sigprocmask(SIG_BLOCK, &followed, nullptr);
+}
+
 std::size_t descriptorLimit(std::size_t told) {
     rlimit limit{};
     if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return told;
@@ -175,13 +189,9 @@
 // ---- signals ----
 
 int Node::openSignals() {
-    sigset_t wanted;
-    sigemptyset(&wanted);
-    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) {
-        sigaddset(&wanted, number);
-    }
-    sigprocmask(SIG_BLOCK, &wanted, nullptr);
-    return ::signalfd(-1, &wanted, SFD_NONBLOCK | SFD_CLOEXEC);
+    holdSignals();
+    const sigset_t followed = followedSignals();
+    return ::signalfd(-1, &followed, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
 net::Task<void> Node::followSignals() {
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -85,6 +85,10 @@
     bool stopping_ = false;
 };
 
+// Holds back the signals that a node follows until one reads them: by default they would end the process. To be
+// called before anything else.
+void holdSignals();
+
 // How many descriptors the process may hold, of what it was told.
 std::size_t descriptorLimit(std::size_t told);
 
--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -306,13 +307,19 @@
         int attempts = 4;
         std::string directory;  // TMPDIR, where a successor finds the node
         std::vector<std::string> classes = {"chat"};
+        std::vector<int> signalsAtStart;  // that come while the node reads its configuration
     };
 
     explicit Node(const Options& options) {
         static int count = 0;
         path_ = testing::TempDir() + "ivyreel_node_" + std::to_string(::getpid()) + "_" +
                 std::to_string(++count) + ".json";
-        std::ofstream(path_) << config(options);
+        const bool early = !options.signalsAtStart.empty();
+        if (early) {
+            ::mkfifo(path_.c_str(), S_IRUSR | S_IWUSR);  // the node is held where it reads it
+        } else {
+            std::ofstream(path_) << config(options);
+        }
         int log[2];
         if (::pipe(log) != 0) ADD_FAILURE() << "pipe";
         process_ = ::fork();
@@ -338,6 +345,7 @@
         }
         ::close(log[1]);
         log_ = ::fdopen(log[0], "r");
+        if (early) signalWhileItReads(options);
         if (options.console) consolePort_ = portIn(logged("operators call at 127.0.0.1:"));
         port_ = portIn(logged(" serves at 127.0.0.1:"));
     }
@@ -362,8 +370,7 @@
     // Puts another file in the place of the configuration, in one step, and tells the node.
     void reload(const Options& options) const { reload(config(options)); }
     void reload(const std::string& text) const {
-        std::ofstream(path_ + ".new") << text;
-        std::rename((path_ + ".new").c_str(), path_.c_str());
+        place(text);
         signal(SIGHUP);
     }
     void signal(int number) const { ::kill(process_, number); }
@@ -451,6 +458,20 @@
     }
 
   private:
+    // What it reads again later is a file.
+    void signalWhileItReads(const Options& options) {
+        std::ofstream held(path_);
+        for (const int number : options.signalsAtStart) {
+            signal(number);
+        }
+        place(config(options));
+        held << config(options);
+    }
+    void place(const std::string& text) const {
+        std::ofstream(path_ + ".new") << text;
+        std::rename((path_ + ".new").c_str(), path_.c_str());
+    }
+
     static std::uint16_t portIn(const std::string& line) {
         return static_cast<std::uint16_t>(std::atoi(line.substr(line.rfind(':') + 1).c_str()));
     }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -587,6 +587,18 @@
     EXPECT_EQ(node.counter("silent"), 1);
 }
 
+// A restart is told, or a new configuration, while the process still starts: by default each ends it.
+TEST(NodeStart, SignalsThatComeBeforeItServesAreFollowedOnceItDoes) {
+    ToyHost host;
+    Node::Options options = with(host);
+    options.signalsAtStart = {SIGHUP, SIGUSR1, SIGTERM};
+    Node node{options};
+    node.logged("counters:");
+    node.logged("configuration read again");
+    node.logged("stopping");
+    up(node, host);  // the front still sends: that is served
+}
+
 TEST(NodeStart, TellsWhatIsWrongWithItsConfiguration) {
     const std::string path = testing::TempDir() + "ivyreel_bad_" + std::to_string(::getpid()) + ".json";
     std::ofstream(path) << R"({"listen":"nowhere","discovery":"127.0.0.1:1","settings":{}})";
