List: a silent watch is begun anew at once, pushed lists are had in time, objects may be indented

Seen in the logs: silent at 0, left at 3.01 s. Now 2.3 s (a line comes every 2 s) and no back-off. - A call in progress was given up whenever the module asked again (followOnce, "does not answer in time"): with a small figure for asking and a discovery whose calls wait their turn, no call ever came to its end. - Where the list is pushed its sender's word counts whether or not it is watched, and from a process's first moment: a new process served on the old list, a broken watch waited for the back-off, and while the sender is away the back-off grew to seconds, with what it gets at its return counting at once. - A successor that serves at once (its first call has failed) told nobody: Handover::serve spoke to links that follow() had not made yet, and the old node never learned of it. Found by the upgrade tests, which hung on it once the wait for the list ended early; before, the wait of one poll hid it.

Tests: tests/list_test.cpp on real sockets, each failing without its part (the silent watch by the module's part in it, not by time); NodeStart.WhereTheListIsPushed... at the whole node; the upgrade tests for the last.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -105,6 +105,7 @@
         config.text = text;
         // Between sockets the list is always asked for: where the settings say that it is pushed, nobody
         // would begin the watch, or begin it again once it broke.
+        config.listPushed = config.settings.settings.listMode == ListMode::Push;
         config.settings.settings.listMode = ListMode::Ask;
         config.settings.settings.seed = seed(document.value("seed", std::string("0")));
         return config;
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -19,7 +19,8 @@
     std::size_t sockets = 0;              // descriptors that the process may hold; 0: not told
     net::ListUpdate known;
     NodeSettings settings;
-    std::string text;  // of the file, as it was read
+    bool listPushed = false;  // as the settings say; between sockets the module asks all the same
+    std::string text;         // of the file, as it was read
 };
 
 // At the start the environment takes the place of what the file says. When the file is read again, what it
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -36,6 +36,7 @@
 constexpr Micros kAskFor = 1s;        // a node that serves answers within some milliseconds
 constexpr Micros kGiveWithin = 2s;    // from a successor's connection to the end of the estate
 constexpr Micros kTellEvery = 100ms;  // how many descriptors are held
+constexpr const char* kServes = "{\"serves\":true}\n";
 constexpr std::size_t kLongestEstate = 64UL * 1024 * 1024;
 constexpr std::size_t kLongestMessage = 256UL * 1024;  // a connection with two full buffers, in digits
 
@@ -424,6 +425,7 @@
 
 Task<void> Handover::follow(int descriptor) {
     Link link{*this, descriptor, true};
+    if (serving_) link.out.push_back({kServes});  // it has come to that before this had its turn
     co_await converse(link);
     spdlog::info("the node before this one has ended");
     party_.predecessorHolds(0);
@@ -498,7 +500,8 @@
 }
 
 void Handover::serve() {
-    tell(Json{{"serves", true}}.dump() + "\n");
+    serving_ = true;
+    tell(kServes);
 }
 
 void Handover::tellBan(HostId host, bool banned) {
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -114,7 +114,8 @@
     Rendezvous at_;
     Signal signal_;
     Socket listener_;
-    bool given_ = false;  // a successor has the estate
+    bool given_ = false;    // a successor has the estate
+    bool serving_ = false;  // this node does
     std::list<Link*> links_;
 };
 
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <cctype>
 #include <chrono>
 #include <exception>
 #include <nlohmann/json.hpp>
@@ -17,7 +19,11 @@
 using namespace std::chrono_literals;
 using Json = nlohmann::json;
 
-constexpr Micros kSilence = 3s;  // a line comes every 2 s; with a new call all is told within 6 s
+constexpr Micros kAnswerWithin = 3s;  // the longest that a call waits its turn
+constexpr Micros kSilence =
+    2300ms;                    // a line comes every 2 s; the new call has the rest of the 6 s for its turn
+constexpr Micros kLived = 1s;  // a watch that ended sooner is none to be begun anew at once
+constexpr Micros kLeastRetry = 10ms;
 constexpr std::size_t kLongestBody = 16UL * 1024 * 1024;
 
 Availability availability(const std::string& state) {
@@ -117,83 +123,132 @@
 }
 
 Task<void> List::follow() {
+    Time again = kNever;
     for (;;) {
-        while (!wanted_ && !moved_) {
-            co_await signal_.wait();
+        while (!wanted_ && !moved_ && scheduler_.now() < again) {
+            co_await signal_.wait(again);
         }
         wanted_ = moved_ = false;
-        const std::string why = co_await followOnce();
+        const End end = co_await followOnce();
+        again = againAfter(end);
         live_ = false;
         if (moved_) continue;  // no failure: the new address is asked at once
+        failed_ = true;
         ++counters_.listFailures;
-        spdlog::warn("the list: {}", why);
-        facade_.listFailed();
+        spdlog::warn("the list: {}", end.why);
+        if (again == kNever) facade_.listFailed();
     }
 }
 
-Task<std::string> List::followOnce() {
+// What a silent watch misses counts as told a while later, and at once where the list is pushed: such a one
+// is begun anew without the module's back-off, which is there for a discovery that has failed. Of a pushed
+// list that nobody sends now the beginning must not be missed. kNever: the module says when.
+Time List::againAfter(const End& end) const {
+    const Time now = scheduler_.now();
+    const bool lived = live_ && now - liveSince_ >= kLived;
+    if (lived && (end.kind == End::Kind::Silent || (grace_ && end.kind == End::Kind::Broken))) return now;
+    if (grace_ && end.kind == End::Kind::Unreachable) return now + std::max(*grace_ / 2, kLeastRetry);
+    return kNever;
+}
+
+Task<List::End> List::followOnce() {
     live_ = false;
+    object_ = {};
     Connection connection;
     try {
         connection = Connection{Socket::connectTo(signal_, discovery_)};
     } catch (const std::exception& error) {
-        co_return error.what();
+        co_return End{error.what(), End::Kind::Unreachable};
     }
     const std::string question = "GET /catalog/members?follow=1&since=" + std::to_string(version_) +
                                  " HTTP/1.1\r\nHost: " + discovery_.text() + "\r\n\r\n";
     std::size_t sent = 0;
     HttpAnswer answer;
     std::string body;
-    Time deadAt = scheduler_.now() + kSilence;
+    Time deadAt = scheduler_.now() + kAnswerWithin;
     for (;;) {
         const Socket::Connecting state = connection.socket.connecting();
-        if (state == Socket::Connecting::Failed && sent == 0) co_return "discovery cannot be reached";
+        if (state == Socket::Connecting::Failed && sent == 0)
+            co_return End{"discovery cannot be reached", End::Kind::Unreachable};
         if (state == Socket::Connecting::Done || sent > 0) {
             connection.send(question, sent);
             bool came = connection.fill();
             try {
                 answer.take(connection.in, body);
                 if (answer.started() && answer.status() != 200)
-                    co_return "discovery answers " + std::to_string(answer.status());
-                if (takeLines(body)) deadAt = scheduler_.now() + kSilence;
+                    co_return End{"discovery answers " + std::to_string(answer.status())};
+                if (take(body)) deadAt = scheduler_.now() + kSilence;
             } catch (const std::exception& error) {
-                co_return error.what();
+                co_return End{error.what()};
             }
-            if (body.size() > kLongestBody) co_return "discovery sends a line without end";
-            if (answer.complete()) co_return "discovery ended the watch";
-            if (connection.over() && !came) co_return "the watch broke";
+            if (body.size() > kLongestBody) co_return End{"discovery sends a line without end"};
+            if (answer.complete()) co_return End{"discovery ended the watch", End::Kind::Broken};
+            if (connection.over() && !came) co_return End{"the watch broke", End::Kind::Broken};
             if (came) {
                 signal_.raise();
             }
         }
-        if (scheduler_.now() >= deadAt)
-            co_return live_ ? "the watch fell silent" : "discovery does not answer";
+        if (scheduler_.now() >= deadAt) {
+            if (!live_) co_return End{"discovery does not answer"};
+            co_return End{"the watch fell silent", End::Kind::Silent};
+        }
         co_await signal_.wait(deadAt);
-        if (moved_) co_return "discovery is elsewhere";
-        if (wanted_ && live_) wanted_ = false;  // it is followed already
-        if (wanted_ && !live_) co_return "discovery does not answer in time";
+        if (moved_) co_return End{"discovery is elsewhere"};
+        // It is followed already, or asked for: a call that waits its turn would wait anew if it were made
+        // again.
+        wanted_ = false;
     }
 }
 
-// Takes the whole lines of the body; true if there were any.
-bool List::takeLines(std::string& body) {
+// Takes the whole objects of the body, and the empty lines between them; true if there were any.
+bool List::take(std::string& body) {
     std::size_t begin = 0;
-    for (std::size_t end = body.find('\n'); end != std::string::npos; end = body.find('\n', begin)) {
-        std::string_view line = std::string_view(body).substr(begin, end - begin);
-        begin = end + 1;
-        if (line.ends_with('\r')) line.remove_suffix(1);
-        const bool first = !std::exchange(live_, true);
-        if (line.empty()) {
-            if (first) facade_.listed(false, {});
-            continue;
+    bool any = false;
+    for (;;) {
+        for (; begin < body.size() && std::isspace(static_cast<unsigned char>(body[begin])) != 0; ++begin) {
+            if (body[begin] != '\n') continue;
+            any = true;
+            if (!live_) facade_.listed(false, {});
+            took();
         }
-        ListUpdate update = ListUpdate::parse(line);
+        const std::string_view rest = std::string_view(body).substr(begin);
+        if (rest.empty()) break;
+        if (rest.front() != '{') throw std::runtime_error("what discovery sends is no list");
+        const auto end = object_.end(rest);
+        if (!end) break;
+        object_ = {};
+        ListUpdate update = ListUpdate::parse(rest.substr(0, *end));
+        begin += *end;
+        any = true;
+        took();
         ++counters_.listChanges;
         know(update);
         facade_.listed(update.full, update.hosts);
     }
     body.erase(0, begin);
-    return begin > 0;
+    return any;
+}
+
+void List::took() {
+    if (!std::exchange(live_, true)) liveSince_ = scheduler_.now();
+}
+
+std::optional<std::size_t> FirstObject::end(std::string_view text) {
+    while (read_ < text.size()) {
+        const char c = text[read_++];
+        if (std::exchange(escaped_, false)) continue;
+        if (quoted_) {
+            escaped_ = c == '\\';
+            quoted_ = c != '"';
+        } else if (c == '"') {
+            quoted_ = true;
+        } else if (c == '{' || c == '[') {
+            ++depth_;
+        } else if ((c == '}' || c == ']') && --depth_ == 0) {
+            return read_;
+        }
+    }
+    return std::nullopt;
 }
 
 }  // namespace ivyreel::net
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -1,8 +1,10 @@
 // Discovery: the list of hosts and the watch on its changes.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +29,20 @@
     std::string text() const;                        // in the same form
 };
 
+// The first whole JSON object of a text that grows at its end and may be spread over lines.
+class FirstObject {
+  public:
+    // Where it ends; none yet if it is not whole. The text begins with it, and with what it held at the last
+    // call.
+    std::optional<std::size_t> end(std::string_view text);
+
+  private:
+    std::size_t read_ = 0;
+    std::size_t depth_ = 0;
+    bool quoted_ = false;
+    bool escaped_ = false;
+};
+
 class List {
   public:
     List(Scheduler& scheduler, Facade& facade, Hosts& hosts, Counters& counters, const Address& discovery)
@@ -43,6 +59,11 @@
     ListUpdate known() const;
     // Whether the watch has brought something since it began.
     bool live() const { return live_; }
+    // Whether nothing more need be waited for: it is live, or the first call has failed.
+    bool settled() const { return live_ || failed_; }
+    // Where the list is pushed, what the sender has counts as told whether it is watched or not: then it is
+    // watched again within this time. None: it is asked for.
+    void pushedWithin(std::optional<Micros> grace) { grace_ = grace; }
     // Follows the changes from now on; asked again, begins anew unless the watch is sound.
     void watch();
     // Follows the changes at this address from now on, at once and from the last version.
@@ -51,8 +72,16 @@
     Task<void> follow();
 
   private:
-    Task<std::string> followOnce();  // returns why it ended
-    bool takeLines(std::string& body);
+    // Why a watch ended, and how much that tells of the next call.
+    struct End {
+        enum class Kind { Failed, Unreachable, Broken, Silent };
+        std::string why;
+        Kind kind = Kind::Failed;
+    };
+    Task<End> followOnce();
+    Time againAfter(const End& end) const;
+    bool take(std::string& body);
+    void took();
 
     Scheduler& scheduler_;
     Facade& facade_;
@@ -61,8 +90,12 @@
     Address discovery_;
     Signal signal_;
     bool wanted_ = false;
-    bool moved_ = false;  // the address is another one since the last call
-    bool live_ = false;   // lines come
+    bool moved_ = false;   // the address is another one since the last call
+    bool live_ = false;    // lines come
+    bool failed_ = false;  // a call has
+    Time liveSince_{0};
+    FirstObject object_;  // the one that is on its way
+    std::optional<Micros> grace_;
     std::uint64_t version_ = 0;
     std::map<std::string, std::pair<ListedHost, Address>> entries_;  // by name
 };
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -60,6 +60,7 @@
       signalSocket_(signals_, openSignals()) {
     const net::ListUpdate& known = estate_ ? estate_->list : config_.known;
     list_.know(known);
+    listSettings();
     facade_.start(known.hosts);
     if (estate_) {
         facade_.inherit(estate_->learned);
@@ -80,11 +81,18 @@
     if (heritage) {
         spdlog::info("taking over from a running node");
         scheduler_.spawn(takeOver(heritage->takeLink()));
+    } else if (config_.listPushed) {
+        scheduler_.spawn(begin());
     } else {
         serve();
     }
 }
 
+void Node::listSettings() {
+    const Micros grace = config_.settings.settings.rules.drainGrace;
+    list_.pushedWithin(config_.listPushed ? std::optional(grace) : std::nullopt);
+}
+
 std::optional<Estate> Node::read(const std::optional<net::Heritage>& heritage) {
     if (!heritage) return std::nullopt;
     try {
@@ -115,13 +123,24 @@
     spdlog::info("{} serves at {}", config_.name, clients_.address().text());
 }
 
-net::Task<void> Node::takeOver(int link) {
-    scheduler_.spawn(handover_.follow(link));
+// What was known before may be old: a process begins with the list as it is now, if that comes soon.
+net::Task<void> Node::awaitList() {
     net::Signal pause{scheduler_};
     const Time until = scheduler_.now() + kListWithin;
-    while (!list_.live() && scheduler_.now() < until) {
+    while (!list_.settled() && scheduler_.now() < until) {
         co_await pause.wait(scheduler_.now() + kListPoll);
     }
+}
+
+// Where the list is pushed, what its sender has counts as told from the first moment.
+net::Task<void> Node::begin() {
+    co_await awaitList();
+    serve();
+}
+
+net::Task<void> Node::takeOver(int link) {
+    scheduler_.spawn(handover_.follow(link));
+    co_await awaitList();
     serve();
     handover_.serve();
 }
@@ -224,6 +243,7 @@
         next.console = config_.console;
         config_ = std::move(next);
         facade_.change(config_.settings);
+        listSettings();
         list_.moveTo(config_.discovery);
         clients_.limitDescriptors(leftForClients());
         ++counters_.confLoaded;
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -61,6 +61,9 @@
     static std::optional<Estate> read(const std::optional<net::Heritage>& heritage);
     std::size_t leftForClients() const;
     void serve();
+    void listSettings();
+    net::Task<void> awaitList();
+    net::Task<void> begin();
     net::Task<void> takeOver(int link);
     net::Task<void> followSignals();
     void reload();
@@ -85,8 +88,8 @@
     bool stopping_ = false;
 };
 
-// Holds back the signals that a node follows until one reads them: by default they would end the process. To be
-// called before anything else.
+// Holds back the signals that a node follows until one reads them: by default they would end the process. To
+// be called before anything else.
 void holdSignals();
 
 // How many descriptors the process may hold, of what it was told.
--- /dev/null
+++ b/tests/list_test.cpp
@@ -0,0 +1,283 @@
+// The watch on the list from inside: real sockets and scheduler, a module that only keeps what it hears.
+#include "net/list.hpp"
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "facade/facade.hpp"
+
+namespace ivyreel::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Heard {
+    int failures = 0;
+    int changes = 0;
+};
+
+class HearingRules final : public Rules {
+  public:
+    explicit HearingRules(Heard& heard) : heard_(heard) {}
+    void handle(Time, const Event& event, std::vector<Action>&) override {
+        if (const auto* list = std::get_if<ListChanged>(&event))
+            ++(list->kind == ListKind::Failed ? heard_.failures : heard_.changes);
+    }
+
+  private:
+    Heard& heard_;
+};
+
+// A bound address that takes connections once it is told to.
+class Bound {
+  public:
+    Bound() : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        EXPECT_EQ(::bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), size), 0);
+        EXPECT_EQ(::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size), 0);
+        text_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    }
+    Bound(const Bound&) = delete;
+    Bound& operator=(const Bound&) = delete;
+
+    Address address() const { return *Address::parse(text_); }
+    // The descriptor then belongs to the socket.
+    Socket listen(Signal& signal) {
+        EXPECT_EQ(::listen(descriptor_, 16), 0);
+        return Socket{signal, std::exchange(descriptor_, -1)};
+    }
+
+  private:
+    int descriptor_;
+    std::string text_;
+};
+
+struct Fixture : Surroundings {
+    Scheduler scheduler;
+    Counters counters;
+    Heard heard;
+    Facade facade{NodeSettings{}, *this, [this](Settings) { return std::make_unique<HearingRules>(heard); }};
+    Hosts hosts{facade, counters};
+    Bound discovery;
+    List list{scheduler, facade, hosts, counters, discovery.address()};
+    Signal listening{scheduler};
+    Socket listener;
+
+    ~Fixture() override { scheduler.dropTasks(); }
+
+    Time now() const override { return scheduler.now(); }
+    void resume(std::coroutine_handle<> picked) override { scheduler.post(picked); }
+    void probe(HostId) override {}
+    void watchList() override {}
+
+    // One call at discovery, read to its empty line.
+    struct Call {
+        explicit Call(Scheduler& scheduler) : signal(scheduler) {}
+        Signal signal;
+        Connection connection;
+        void say(std::string_view text) {
+            std::size_t sent = 0;
+            connection.send(text, sent);
+        }
+        void begin() { say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+        void chunk(std::string_view text) {
+            char size[32];
+            std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+            say(std::string(size).append(text).append("\r\n"));
+        }
+    };
+
+    Task<std::unique_ptr<Call>> next() {
+        int descriptor = -1;
+        while (listener.accept(descriptor) != Socket::Accepting::Taken) {
+            co_await listening.wait();
+        }
+        auto call = std::make_unique<Call>(scheduler);
+        call->connection = Connection{Socket{call->signal, descriptor}};
+        while (call->connection.in.view().find("\r\n\r\n") == std::string_view::npos &&
+               !call->connection.over()) {
+            if (!call->connection.fill()) co_await call->signal.wait();
+        }
+        co_return call;
+    }
+
+    Task<void> until(std::function<bool()> met) {
+        Signal pause{scheduler};
+        while (!met()) {
+            co_await pause.wait(scheduler.now() + 5ms);
+        }
+    }
+
+    // Plays a script beside the list that is followed, to its end or for 20 s, which only a hang reaches.
+    bool played(const std::function<Task<void>(Fixture&)>& script) {
+        bool ended = false;
+        scheduler.spawn(list.follow());
+        scheduler.spawn(
+            [](Fixture& f, const std::function<Task<void>(Fixture&)>& play, bool& end) -> Task<void> {
+                co_await play(f);
+                end = true;
+                f.scheduler.stop();
+            }(*this, script, ended));
+        scheduler.spawn([](Scheduler& s) -> Task<void> {
+            Signal pause{s};
+            co_await pause.wait(s.now() + 20s);
+            s.stop();
+        }(scheduler));
+        scheduler.run();
+        return ended;
+    }
+};
+
+constexpr std::string_view kIndented = R"({
+  "version": 9,
+  "full": true,
+  "servers": [
+    {
+      "id": "s-{1}\"[",
+      "addr": "127.0.0.1:1",
+      "state": "active"
+    }
+  ]
+})";
+
+TEST(FirstObject, IsFoundInPiecesOfAnySizeWhateverItsTextsHold) {
+    const std::string whole(kIndented);
+    for (std::size_t step = 1; step < whole.size(); ++step) {
+        FirstObject first;
+        std::string text;
+        std::optional<std::size_t> end;
+        for (std::size_t at = 0; at < whole.size(); at += step) {
+            EXPECT_FALSE(end) << "before its last byte";
+            text.append(whole.substr(at, step));
+            end = first.end(text);
+        }
+        ASSERT_TRUE(end);
+        EXPECT_EQ(*end, whole.size());
+    }
+    EXPECT_EQ(FirstObject{}.end("{}\n{}"), 2U);
+    EXPECT_EQ(FirstObject{}.end(R"({"a":"\\"}{)"), 10U);
+}
+
+// Lists may come indented: one object on many lines, and pieces that end anywhere.
+TEST(List, ReadsAnIndentedListInPieces) {
+    Fixture f;
+    f.listener = f.discovery.listen(f.listening);
+    f.list.watch();
+    EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
+        const auto call = co_await g.next();
+        call->begin();
+        const std::string text = std::string(kIndented) + "\n\n" + R"({"version":10,"servers":[]})" + "\n";
+        for (std::size_t at = 0; at < text.size(); at += 7) {
+            call->chunk(std::string_view(text).substr(at, 7));
+        }
+        co_await g.until([&g] { return g.counters.listChanges == 2 || g.counters.listFailures > 0; });
+    }));
+    EXPECT_EQ(f.counters.listFailures, 0U);
+    ASSERT_EQ(f.list.known().hosts.size(), 1U);
+    EXPECT_EQ(f.list.known().hosts[0].name, R"(s-{1}"[)");
+    EXPECT_EQ(f.list.known().version, 10U);
+}
+
+// What it misses counts as told soon after: the module's back-off would take from the time that is left.
+TEST(List, AWatchThatFallsSilentIsBegunAnewWithoutTheModulesBackOff) {
+    Fixture f;
+    f.listener = f.discovery.listen(f.listening);
+    f.list.watch();
+    EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
+        const auto silent = co_await g.next();
+        silent->begin();
+        silent->chunk("\n");
+        const auto anew = co_await g.next();
+        EXPECT_EQ(g.heard.failures, 0) << "the module, and its back-off, had no part in it";
+        EXPECT_EQ(g.counters.listFailures, 1U);
+        anew->begin();
+        anew->chunk("\n");
+        co_await g.until([&g] { return g.list.live(); });
+    }));
+}
+
+TEST(List, AWatchThatEndsAtOnceIsLeftToTheModulesBackOff) {
+    Fixture f;
+    f.list.pushedWithin(100ms);
+    f.listener = f.discovery.listen(f.listening);
+    f.list.watch();
+    EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
+        {
+            const auto brief = co_await g.next();
+            brief->begin();
+            brief->chunk("\n");
+            co_await g.until([&g] { return g.list.live(); });
+        }
+        co_await g.until([&g] { return g.heard.failures == 1; });
+        EXPECT_EQ(g.counters.listFailures, 1U) << "no call in between";
+    }));
+}
+
+// A call waits its turn at discovery; one that is made again waits anew.
+TEST(List, ACallThatWaitsItsTurnIsNotMadeAgain) {
+    Fixture f;
+    f.listener = f.discovery.listen(f.listening);
+    f.list.watch();
+    EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
+        const auto call = co_await g.next();
+        g.list.watch();
+        co_await g.until([&g, turns = 0]() mutable { return ++turns > 4; });
+        call->begin();
+        call->chunk("\n");
+        co_await g.until([&g] { return g.list.live() || g.counters.listFailures > 0; });
+        EXPECT_EQ(g.counters.listFailures, 0U);
+    }));
+}
+
+// Where the list is pushed, what its sender gets when it is back counts at once; nobody else would ask in
+// time.
+TEST(List, WhereItIsPushedItIsWatchedAgainAsSoonAsItsSenderIsBack) {
+    Fixture f;
+    f.list.pushedWithin(100ms);
+    f.list.watch();
+    EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
+        co_await g.until([&g] { return g.counters.listFailures >= 3; });
+        g.listener = g.discovery.listen(g.listening);
+        const auto call = co_await g.next();
+        call->begin();
+        call->chunk("\n");
+        co_await g.until([&g] { return g.list.live(); });
+    }));
+    EXPECT_EQ(f.heard.failures, 0);
+}
+
+TEST(List, WhereItIsPushedAWatchThatBreaksIsBegunAnewAtOnce) {
+    Fixture f;
+    f.list.pushedWithin(100ms);
+    f.listener = f.discovery.listen(f.listening);
+    f.list.watch();
+    EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
+        {
+            const auto broken = co_await g.next();
+            broken->begin();
+            broken->chunk("\n");
+            co_await g.until([&g, since = g.scheduler.now()] { return g.scheduler.now() > since + 1200ms; });
+            broken->connection.socket.reset();
+        }
+        const auto anew = co_await g.next();
+        EXPECT_EQ(g.heard.failures, 0);
+    }));
+}
+
+}  // namespace
+}  // namespace ivyreel::net
--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -307,6 +307,8 @@
         int attempts = 4;
         std::string directory;  // TMPDIR, where a successor finds the node
         std::vector<std::string> classes = {"chat"};
+        std::string listMode = "ask";
+        int drainGraceMs = 500;
         std::vector<int> signalsAtStart;  // that come while the node reads its configuration
     };
 
@@ -447,12 +449,14 @@
                R"("name":"n0","listen":"127.0.0.1:0","discovery":")" + o.discovery +
                R"(","seed":"7","limits":{"sockets":)" + std::to_string(o.sockets) +
                R"(},"known":{"version":41,"full":true,"servers":[)" + known +
-               R"(]},"settings":{"instances":1,"registryMode":"ask","failureDomains":["a"],"kinds":["m1"],
+               R"(]},"settings":{"instances":1,"registryMode":")" + o.listMode +
+               R"(","failureDomains":["a"],"kinds":["m1"],
                "bounds":{"attemptsCap":)" +
                std::to_string(o.attempts) + R"(,"cancel":true,"probes":true,"retryAfter":true,
                "maxRetryAfter":1000000,"connectTimeout":5000000},
                "report":{"how":"on_probe","fields":["x0","cpu"]},
-               "rules":{"drainGrace":500000,"mustAskIn":10000000,"fall":2000000,"warmAfter":8000000},
+               "rules":{"drainGrace":)" +
+               micros(o.drainGraceMs) + R"(,"mustAskIn":10000000,"fall":2000000,"warmAfter":8000000},
                "grades":[)" +
                classes + "]}}";
     }
@@ -460,6 +464,7 @@
   private:
     // What it reads again later is a file.
     void signalWhileItReads(const Options& options) {
+        std::signal(SIGPIPE, SIG_IGN);  // a node that ends meanwhile shows in its log
         std::ofstream held(path_);
         for (const int number : options.signalsAtStart) {
             signal(number);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -587,6 +587,40 @@
     EXPECT_EQ(node.counter("silent"), 1);
 }
 
+// Where the list is pushed, what its sender has counts as told from the first moment of a new process.
+TEST(NodeStart, WhereTheListIsPushedServesOnceItHasIt) {
+    ToyHost before;
+    ToyHost now;
+    ToyDiscovery discovery;
+    Node::Options options = with(before, discovery);
+    options.listMode = "push";
+    std::optional<ToyDiscovery::Watch> watch;
+    std::thread sender([&] {
+        watch.emplace(discovery.next());
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        watch->begin();
+        watch->line(R"({"version":50,"full":true,"servers":[)" + listed("s-1", before.address(), "leaving") +
+                    "," + listed("s-2", now.address()) + "]}");
+    });
+    Node node{options};
+    EXPECT_EQ(node.counter("list_changes"), 1) << "before it serves";
+    sender.join();
+    for (int i = 0; i < 10; ++i) {
+        up(node, now);
+    }
+    EXPECT_TRUE(before.idle());
+}
+
+// Without its sender it serves on what was known.
+TEST(NodeStart, WhereTheListIsPushedServesAtOnceIfNobodySendsIt) {
+    ToyHost host;
+    Node::Options options = with(host);
+    options.listMode = "push";
+    Node node{options};
+    EXPECT_GE(node.counter("list_failures"), 1);
+    up(node, host);
+}
+
 // A restart is told, or a new configuration, while the process still starts: by default each ends it.
 TEST(NodeStart, SignalsThatComeBeforeItServesAreFollowedOnceItDoes) {
     ToyHost host;
