A request ends when its client leaves, wherever it waits; what it waited by is read again before a byte

Causes, read in src/net/clients.cpp, hosts.cpp and src/rules.cpp, then forced on loopback: - A held request slept in pick() and heard nothing of its client: it was looked at when the module had decided. It was not sent on (checked: fill() before each attempt), but held, and hosts were asked for it, until its time was up. It now waits for the module and for the client at once (Clients::decision), and one place ends it (forsaken). - takeUp: a client that left between two tries for a host without an address ended the inner wait at once and nothing else: the loop never gave way again, and the node stood still for up to 35 s at full load. Seen: 36 s of processor time. - A connection takes up to connectTimeout to come up, and only the list's word was read again then. A keyed request was repeated past the window in which its repeats are dropped; a host that had moved or started anew got what was decided for the old one. Rules::holds and the address are asked before the first byte; what no longer holds is decided anew (Moot). - A keyed request bound to a zone or cell lost its group when its first host left the list (mayGo looked the host up): it waited for its whole time and failed. The group is kept with the request. - Zones that the settings do not name shared one place: hosts of two such zones passed for one group. - std::clamp with the bounds the wrong way round where the time for asking is under 2 s.

Module and facade: window, ban, drain, restart, group of a host that is gone, zones. pick() of the facade no longer suspends: its tests follow, each check kept, and the module's part checked beside.

--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -114,23 +114,23 @@
     return timers_.empty() ? Time::max() : timers_.begin()->first;
 }
 
-Facade::Pick Facade::pick(Ticket& ticket) {
+std::optional<Verdict> Facade::pick(Ticket& ticket) {
     if (!ticket.held_ && !ticket.verdict_) {
         hold(ticket);
         handle(ticket.arrival_);
     }
-    return Pick{ticket};
-}
-
-Verdict Facade::Pick::await_resume() const {
-    const Verdict verdict = *std::exchange(ticket_.verdict_, std::nullopt);
-    if (const auto* go = std::get_if<Go>(&verdict)) {
-        ticket_.host_ = go->host;
-        ++ticket_.attempts_;
+    const std::optional<Verdict> verdict = std::exchange(ticket.verdict_, std::nullopt);
+    if (const auto* go = verdict ? std::get_if<Go>(&*verdict) : nullptr) {
+        ticket.host_ = go->host;
+        ++ticket.attempts_;
     }
     return verdict;
 }
 
+bool Facade::holds(const Ticket& ticket, HostId host) const {
+    return accepts(host) && rules_->holds(surroundings_.now(), ticket.arrival_.request);
+}
+
 void Facade::giveUp(Ticket& ticket) {
     if (!ticket.held_) return;
     handle(ClientLeft{ticket.arrival_.request});
@@ -274,10 +274,14 @@
     return any ? std::optional(report) : std::nullopt;
 }
 
-HostEntry Facade::entry(const ListedHost& host) const {
+HostEntry Facade::entry(const ListedHost& host) {
     HostEntry result;
     result.id = hostIdOf(host.name);
-    result.zone = ZoneIndex{position(settings_.zoneNames, host.zone)};
+    // Those that the settings do not name are told apart too: hosts of two zones drop no repeats of each
+    // other.
+    const std::uint32_t zone = position(settings_.zoneNames, host.zone);
+    if (zone == settings_.zoneNames.size()) settings_.zoneNames.push_back(host.zone);
+    result.zone = ZoneIndex{zone};
     result.kind = KindIndex{position(settings_.kindNames, host.kind)};
     result.cell = CellId{host.cell};
     result.units = host.weight;
@@ -286,7 +290,7 @@
     return result;
 }
 
-ListChanged Facade::change(ListKind kind, const std::vector<ListedHost>& hosts) const {
+ListChanged Facade::change(ListKind kind, const std::vector<ListedHost>& hosts) {
     ListChanged event{kind, {}};
     for (const ListedHost& host : hosts) {
         event.hosts.push_back(entry(host));
@@ -339,11 +343,7 @@
 
 void Facade::settle(Ticket& ticket, Verdict verdict) {
     ticket.verdict_ = verdict;
-    if (ticket.picking_) {
-        surroundings_.resume(std::exchange(ticket.picking_, {}));
-    } else {
-        ticket.listener_.ordered();
-    }
+    ticket.listener_.ordered();
 }
 
 Ticket* Facade::find(RequestId request) {
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -1,12 +1,11 @@
 // The decision module in blocking style: pick, report, tick. The only code of the node that sees the module's
 // events and actions. It decides nothing and knows no sockets.
 //
-// A Ticket stands for one request of a client. Its owner awaits pick() until the module names a host, refuses
-// or fails the request, tells what came of it by report(), and hears through its Listener when the module
-// wants something meanwhile.
+// A Ticket stands for one request of a client. Its owner picks until the module names a host, refuses or
+// fails the request, tells what came of it by report(), and hears through its Listener when the module has
+// decided or wants something meanwhile. So it waits for the module and for its client at once.
 #pragma once
 
-#include <coroutine>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -58,7 +57,7 @@
     Time started{0};  // 0: long ago
 };
 
-// Told when a ticket has an order for its owner: it is called off, or to be moved.
+// Told when a ticket has something for its owner: a decision, or that it is to be moved.
 class Listener {
   public:
     Listener() = default;
@@ -80,7 +79,6 @@
     Surroundings& operator=(Surroundings&&) = delete;
     virtual ~Surroundings() = default;
     virtual Time now() const = 0;  // Unix time, never going back
-    virtual void resume(std::coroutine_handle<> picked) = 0;
     virtual void probe(HostId host) = 0;
     virtual void watchList() = 0;
 };
@@ -106,8 +104,8 @@
     // Tells the module that the client has left, if it still counts on it.
     ~Ticket();
 
-    // Whether the module has decided anew while an attempt was out: the attempt is to be given up.
-    bool calledOff() const { return verdict_.has_value(); }
+    // Whether there is a decision to pick. If it came while an attempt was out, that is to be given up.
+    bool decided() const { return verdict_.has_value(); }
     bool toBeMoved() const { return move_; }
     // Where it is, and its load as the host told it last.
     HostId host() const { return host_; }
@@ -124,7 +122,6 @@
     int attempts_ = 0;
     HostId host_{};
     std::optional<Verdict> verdict_;
-    std::coroutine_handle<> picking_;
 };
 
 class Facade {
@@ -139,21 +136,15 @@
     // Runs the timers that are due; returns when the next one is.
     Time tick();
 
-    class Pick {
-      public:
-        explicit Pick(Ticket& ticket) : ticket_(ticket) {}
-        bool await_ready() const { return ticket_.verdict_.has_value(); }
-        void await_suspend(std::coroutine_handle<> picking) const { ticket_.picking_ = picking; }
-        Verdict await_resume() const;
+    // A host, a refusal with its advice, or a failure; none while the module holds the request. The listener
+    // is told when there is one.
+    std::optional<Verdict> pick(Ticket& ticket);
+    // Whether what was picked still holds: the list, a ban, a restart of the host or the time may speak
+    // against it by now. To be asked before the first byte goes out.
+    bool holds(const Ticket& ticket, HostId host) const;
 
-      private:
-        Ticket& ticket_;
-    };
-    // Resumes with a host, a refusal with its advice, or a failure.
-    Pick pick(Ticket& ticket);
-
-    // Ends a request that is not up yet, from outside the module: its pick resumes with a failure, or an
-    // attempt that is out is called off.
+    // Ends a request that is not up yet, from outside the module: the next pick is a failure, and an attempt
+    // that is out is called off.
     void giveUp(Ticket& ticket);
 
     // ---- reports ----
@@ -203,8 +194,8 @@
     Ticket* find(RequestId request);
     void hold(Ticket& ticket);
     void release(Ticket& ticket);
-    ListChanged change(ListKind kind, const std::vector<ListedHost>& hosts) const;
-    HostEntry entry(const ListedHost& host) const;
+    ListChanged change(ListKind kind, const std::vector<ListedHost>& hosts);
+    HostEntry entry(const ListedHost& host);
 
     NodeSettings settings_;                       // names keep their places for good
     std::set<std::string, std::less<>> offered_;  // classes that the settings name now
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -301,22 +301,29 @@
 
 }  // namespace
 
+// What the module decides; none if the client has left or spoken first. That ends the request at once, so
+// that nothing more is asked or kept for it, and is read again here before any attempt.
+Task<std::optional<Verdict>> Clients::decision(Exchange& exchange, Ticket& ticket) {
+    for (;;) {
+        exchange.client.fill();
+        if (exchange.forsaken()) co_return std::nullopt;
+        if (const auto verdict = facade_.pick(ticket)) co_return verdict;
+        co_await exchange.signal.wait();
+    }
+}
+
 // The life of a request: picks and attempts until a host has taken it, or the module refuses or fails it.
 Task<void> Clients::place(Exchange& exchange, const Opening& opening, ClassCounts& counts) {
     Ticket ticket{facade_, exchange, asked(opening)};
     std::optional<Listed<Ticket>> placing{std::in_place, placing_, ticket};
     RelayState state;
     for (;;) {
-        const Verdict verdict = co_await facade_.pick(ticket);
-        exchange.client.fill();
-        if (exchange.client.over()) {
-            ++counters_.left;
-            co_return;
-        }
-        if (const auto* refusal = std::get_if<Refusal>(&verdict))
+        const std::optional<Verdict> verdict = co_await decision(exchange, ticket);
+        if (!verdict) co_return co_await forsaken(exchange, ticket, counts);
+        if (const auto* refusal = std::get_if<Refusal>(&*verdict))
             co_return co_await refuse(exchange, counts, refusal->notBefore);
-        if (std::holds_alternative<Failure>(verdict)) co_return co_await fail(exchange, counts);
-        const Go go = std::get<Go>(verdict);
+        if (std::holds_alternative<Failure>(*verdict)) co_return co_await fail(exchange, counts);
+        const Go go = std::get<Go>(*verdict);
         const AttemptResult result =
             co_await hosts_.attempt(exchange, ticket, opening, {go.host, go.timeout, false, counts});
         switch (result.kind) {
@@ -326,11 +333,8 @@
                 ++counters_.up;
                 ++counts.answered;
                 co_return co_await relay(exchange, ticket, opening, state);
-            case AttemptResult::Kind::ClientLeft:
-                ++counters_.left;
-                co_return;
-            case AttemptResult::Kind::ClientEarly:
-                co_return co_await reject(exchange, counters_.badEarly, &counts);
+            case AttemptResult::Kind::Forsaken:
+                co_return co_await forsaken(exchange, ticket, counts);
             case AttemptResult::Kind::CalledOff:
                 ++counters_.calledOff;
                 break;
@@ -351,9 +355,8 @@
     while (scheduler_.now() < until) {
         const AttemptResult result = co_await hosts_.attempt(exchange, ticket, opening,
                                                              {host, until - scheduler_.now(), true, counts});
-        if (result.kind == AttemptResult::Kind::ClientLeft) co_return;
-        if (result.kind == AttemptResult::Kind::ClientEarly)
-            co_return co_await reject(exchange, counters_.badEarly, &counts);
+        if (result.kind == AttemptResult::Kind::Forsaken)
+            co_return co_await forsaken(exchange, ticket, counts);
         if (result.kind == AttemptResult::Kind::Up) {
             ++counters_.resumed;
             facade_.stands(ticket, host);
@@ -362,9 +365,10 @@
             co_return co_await relay(exchange, ticket, opening, state);
         }
         const Time again = scheduler_.now() + kTakeUpAgain;
-        while (scheduler_.now() < again && !exchange.client.over()) {
-            co_await exchange.signal.wait(again);
+        while (scheduler_.now() < again) {
             exchange.client.fill();
+            if (exchange.forsaken()) co_return co_await forsaken(exchange, ticket, counts);
+            co_await exchange.signal.wait(again);
         }
     }
     co_await fail(exchange, counts);
@@ -411,6 +415,13 @@
     co_await sayGoodbye(exchange, std::string(kFailed));
 }
 
+// Its client has left before it was answered, or has not waited for that: then it is told.
+Task<void> Clients::forsaken(Exchange& exchange, Ticket& ticket, ClassCounts& counts) {
+    facade_.giveUp(ticket);
+    if (!exchange.client.in.empty()) co_return co_await reject(exchange, counters_.badEarly, &counts);
+    ++counters_.left;
+}
+
 // Answers what is no request, or one that breaks the form, and counts why.
 Task<void> Clients::reject(Exchange& exchange, std::uint64_t& cause, ClassCounts* counts) {
     ++counters_.badInput;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -54,12 +54,14 @@
 
     Task<void> serve(std::unique_ptr<Exchange> owned);
     Task<std::optional<Opening>> opening(Exchange& exchange);
+    Task<std::optional<Verdict>> decision(Exchange& exchange, Ticket& ticket);
     Task<void> place(Exchange& exchange, const Opening& opening, ClassCounts& counts);
     Task<void> takeUp(Exchange& exchange, const Opening& opening, ClassCounts& counts);
     Task<void> relay(Exchange& exchange, Ticket& ticket, const Opening& opening, RelayState& state);
     Task<void> goOn(std::unique_ptr<Exchange> owned, StandingConnection connection);
     Task<void> refuse(Exchange& exchange, ClassCounts& counts, Micros notBefore);
     Task<void> fail(Exchange& exchange, ClassCounts& counts);
+    Task<void> forsaken(Exchange& exchange, Ticket& ticket, ClassCounts& counts);
     Task<void> reject(Exchange& exchange, std::uint64_t& cause, ClassCounts* counts);
     std::uint64_t* fault(const Opening& opening);
     void forgetIds();
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -52,22 +52,22 @@
     bool connected = false;
     for (;;) {
         const Time now = scheduler.now();
-        if (ticket.calledOff()) {
+        if (ticket.decided()) {
             host = Connection{};
             co_return AttemptResult{AttemptResult::Kind::CalledOff, {}, {}, {}};
         }
         exchange.client.fill();
-        if (exchange.client.over() || !exchange.client.in.empty()) {
-            const bool early = !exchange.client.in.empty();
+        if (exchange.forsaken()) {
             host = Connection{};
-            co_return AttemptResult{
-                early ? AttemptResult::Kind::ClientEarly : AttemptResult::Kind::ClientLeft, {}, {}, {}};
+            co_return AttemptResult{AttemptResult::Kind::Forsaken, {}, {}, {}};
         }
         if (!connected) {
             const Socket::Connecting state = host.socket.connecting();
             if (state == Socket::Connecting::Failed) co_return ended(Outcome::ConnectFailed);
             connected = state == Socket::Connecting::Done;
-            if (connected && !target.standing && !facade_.accepts(target.host)) {
+            // It took its time to come up: what it was decided by may have changed.
+            const bool same = addressOf(target.host) == address;
+            if (connected && !(same && (target.standing || facade_.holds(ticket, target.host)))) {
                 ++counters_.notSent;
                 co_return ended(Outcome::Moot);
             }
--- a/src/net/hosts.hpp
+++ b/src/net/hosts.hpp
@@ -20,6 +20,8 @@
 struct Exchange final : Listener {
     Exchange(Scheduler& scheduler, int descriptor) : signal(scheduler), client(Socket{signal, descriptor}) {}
     void ordered() override { signal.raise(); }
+    // Before its answer: the client has left, or has spoken again.
+    bool forsaken() const { return client.over() || !client.in.empty(); }
 
     Signal signal;
     Connection client;
@@ -30,7 +32,8 @@
 };
 
 struct AttemptResult {
-    enum class Kind { Up, Ended, CalledOff, ClientLeft, ClientEarly };
+    // Forsaken: the client has left, or has not waited for its answer.
+    enum class Kind { Up, Ended, CalledOff, Forsaken };
     Kind kind = Kind::Ended;
     Outcome outcome = Outcome::ConnectFailed;  // of one that ended
     Micros waited{0};
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -1,7 +1,6 @@
 // One node: owns the parts, joins the facade to them, and follows the signals of the system.
 #pragma once
 
-#include <coroutine>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -37,7 +36,6 @@
 
     // For the facade.
     Time now() const override { return scheduler_.now(); }
-    void resume(std::coroutine_handle<> picked) override { scheduler_.post(picked); }
     void probe(HostId host) override { probes_.probe(host); }
     void watchList() override { list_.watch(); }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -159,11 +159,11 @@
     bool waitsForFigure = false;
     bool out = false;  // an attempt is outstanding
     bool open = false;
-    HostId host{};
+    HostEntry at{};  // the host that it was sent to, as that was listed then
     Time sentAt{0};
     bool mayHaveRun = false;  // an ended attempt may have executed
     Time firstRunSentAt{0};
-    HostId firstRunHost{};
+    HostEntry firstRun{};  // at this host
 };
 
 // ---- the decisions ----
@@ -253,7 +253,7 @@
 
     void on(const ListChanged& e) {
         if (e.kind == ListKind::Failed) {
-            watchBackoff_ = std::clamp(watchBackoff_ * 2, kWatchBackoff, s_.rules.mustAskIn / 4);
+            watchBackoff_ = std::min(std::max(watchBackoff_ * 2, kWatchBackoff), s_.rules.mustAskIn / 4);
             watchDue_ = now_ + scaled(watchBackoff_, 0.5 + random_.next());
             return;
         }
@@ -697,7 +697,7 @@
         Request& r = requests_[e.request.request];
         begin(r, e.request);
         r.attempts = 1;
-        r.host = e.host;
+        r.at.id = e.host;
         r.open = true;
         newUntil_ = now_;
         hostFor(e.host);
@@ -715,7 +715,7 @@
     bool attemptsSpent(const Request& r) const { return r.attempts >= std::min(r.most, s_.limits.attempts); }
 
     void count(const Request& r, int step) {
-        if (Host* host = find(r.host)) {
+        if (Host* host = find(r.at.id)) {
             host->ownOpen += step;
             // What has ended again is no longer on its way into the host's figure, and tells nothing.
             const auto same = [&r](const Placement& p) { return p.by == r.asked.request; };
@@ -729,9 +729,9 @@
         if (tenant < tenantOpen_.size()) tenantOpen_[tenant] += step;
         // Whatever the settings say now: what was counted in is counted out.
         if (r.asked.group == GroupId{0}) return;
-        int& members = members_[{r.asked.group, r.host}];
+        int& members = members_[{r.asked.group, r.at.id}];
         members += step;
-        if (members <= 0) members_.erase({r.asked.group, r.host});
+        if (members <= 0) members_.erase({r.asked.group, r.at.id});
     }
 
     bool grouped(const Request& r) const { return s_.groupsShareWork && r.asked.group != GroupId{0}; }
@@ -746,7 +746,7 @@
         if (host == nullptr) {
             // It is held while a host may come back or room appear, then refused before its aim has passed.
             const bool heldLong = now_ >= r.arrivedAt + scaled(r.cls.aim, kHoldShare);
-            if (!repeatable(r) || (heldLong && mayRefuse(r))) finish(id, r);
+            if (!repeatable(r, now_) || (heldLong && mayRefuse(r))) finish(id, r);
             return;
         }
         send(id, r, *host);
@@ -903,7 +903,7 @@
     }
 
     void send(RequestId id, Request& r, Host& host) {
-        r.host = host.entry.id;
+        r.at = host.entry;
         r.sentAt = now_;
         r.out = true;
         ++r.attempts;
@@ -920,7 +920,7 @@
     // Half of what is left of the aim, so that a second attempt fits; never under what setting up takes.
     Micros timeoutFor(const Request& r) const {
         const Micros left = r.deadline - now_;
-        if (attemptsSpent(r) || !couldRepeat(r)) return left;
+        if (attemptsSpent(r) || r.cls.effect == Effect::Unsafe) return left;
         const Micros aimLeft = r.arrivedAt + r.cls.aim - now_;
         const Micros least =
             std::max(s_.limits.connectTimeout, Micros{static_cast<Micros::rep>(3.0 * fleet_.setupUs)});
@@ -931,32 +931,34 @@
 
     // ---- effects: what may be sent again, and what may be refused ----
 
-    bool couldRepeat(const Request& r) const { return r.cls.effect != Effect::Unsafe; }
-
     bool unbound(const Request& r) const { return !r.mayHaveRun || r.cls.effect == Effect::Safe; }
 
-    bool repeatable(const Request& r) const {
-        const ClassSettings& cls = r.cls;
+    bool repeatable(const Request& r, Time now) const {
         return unbound(r) ||
-               (cls.effect == Effect::Keyed && now_ + tick_ < r.firstRunSentAt + cls.repeatWindow);
+               (r.cls.effect == Effect::Keyed && now + tick_ < r.firstRunSentAt + r.cls.repeatWindow);
+    }
+
+    // The group is that of the host as it was listed then: it may have left the list since.
+    static bool inGroup(const Request& r, const Host& host) {
+        if (r.cls.group == RepeatGroup::Zone) return r.firstRun.zone == host.entry.zone;
+        return r.cls.group == RepeatGroup::All || r.firstRun.cell == host.entry.cell;
     }
 
     bool mayGo(const Request& r, const Host& host) const {
-        if (unbound(r)) return true;
-        if (!repeatable(r)) return false;
-        const ClassSettings& cls = r.cls;
-        if (cls.group == RepeatGroup::All) return true;
-        const Host* first = find(r.firstRunHost);
-        if (first == nullptr) return false;
-        if (cls.group == RepeatGroup::Zone) return first->entry.zone == host.entry.zone;
-        return first->entry.cell == host.entry.cell;
+        return unbound(r) || (repeatable(r, now_) && inGroup(r, host));
+    }
+
+    // A host that has started anew is another one: cold, and none that the draw knew.
+    bool holds(Time now, RequestId id) const override {
+        const auto at = requests_.find(id);
+        const Host* host = at == requests_.end() ? nullptr : find(at->second.at.id);
+        return host != nullptr && at->second.out && ready(*host) && repeatable(at->second, now) &&
+               host->entry.launched == at->second.at.launched;
     }
 
     bool mayRefuse(const Request& r) const {
-        const ClassSettings& cls = r.cls;
-        if (cls.effect == Effect::Safe) return true;
-        if (cls.effect == Effect::Keyed && cls.group == RepeatGroup::All) return true;
-        return !r.mayHaveRun && !r.out;
+        const bool keptByAll = r.cls.effect == Effect::Keyed && r.cls.group == RepeatGroup::All;
+        return r.cls.effect == Effect::Safe || keptByAll || (!r.mayHaveRun && !r.out);
     }
 
     // The one place where a request gets its final answer from the node.
@@ -1008,10 +1010,10 @@
         if (ran && !r.mayHaveRun) {
             r.mayHaveRun = true;
             r.firstRunSentAt = r.sentAt;
-            r.firstRunHost = e.host;
+            r.firstRun = r.at;
         }
         r.tried.push_back(e.host);
-        if (!repeatable(r)) return finish(e.request, r);
+        if (!repeatable(r, now_)) return finish(e.request, r);
         place(e.request, r);
     }
 
@@ -1033,13 +1035,12 @@
         const auto at = requests_.find(e.request);
         if (at == requests_.end() || !(e.load >= 0.0)) return;
         Request& r = at->second;
-        if (Host* host = find(r.host)) host->ownLoad = std::max(0.0, host->ownLoad + e.load - r.load);
+        if (Host* host = find(r.at.id)) host->ownLoad = std::max(0.0, host->ownLoad + e.load - r.load);
         r.load = e.load;
         const auto cls = static_cast<std::size_t>(r.asked.cls);
         if (cls >= fleet_.classLoad.size()) return;
-        fleet_.classLoad[cls] = fleet_.classLoad[cls] > 0
-                                    ? fleet_.classLoad[cls] + (e.load - fleet_.classLoad[cls]) * kLoadStep
-                                    : e.load;
+        double& usual = fleet_.classLoad[cls];
+        usual = usual > 0 ? usual + (e.load - usual) * kLoadStep : e.load;
     }
 
     void on(const DelayNote& e) {
@@ -1113,7 +1114,7 @@
     void moveOff(const Host& host, double load) {
         std::vector<std::pair<GroupId, RequestId>> there;
         for (const auto& [id, r] : requests_)
-            if (r.open && r.host == host.entry.id) there.emplace_back(r.asked.group, id);
+            if (r.open && r.at.id == host.entry.id) there.emplace_back(r.asked.group, id);
         std::sort(there.begin(), there.end());
         for (const auto& [group, id] : there) {
             Request& r = requests_.at(id);
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -20,13 +20,19 @@
 
 class SilentRules final : public Rules {
   public:
+    explicit SilentRules(const bool& holds) : holds_(holds) {}
     void handle(Time, const Event&, std::vector<Action>&) override {}
+    bool holds(Time, RequestId) const override { return holds_; }
+
+  private:
+    const bool& holds_;
 };
 
 struct Fixture : Surroundings {
     Scheduler scheduler;
     Counters counters;
-    Facade facade{settings(), *this, [](Settings) { return std::make_unique<SilentRules>(); }};
+    bool holds = true;
+    Facade facade{settings(), *this, [this](Settings) { return std::make_unique<SilentRules>(holds); }};
     Hosts hosts{facade, counters};
     Signal listening{scheduler};
     Socket listener{Socket::listenOn(listening, *Address::parse("127.0.0.1:0"))};
@@ -43,7 +49,6 @@
     }
 
     Time now() const override { return scheduler.now(); }
-    void resume(std::coroutine_handle<> picked) override { scheduler.post(picked); }
     void probe(HostId) override {}
     void watchList() override {}
 
@@ -118,6 +123,19 @@
     EXPECT_EQ(f.counters.attempts, 0U);
 }
 
+// The time of a keyed request's repeat has passed, or the host has started anew.
+TEST(Attempt, SendsNothingWhereTheModuleNoLongerWantsIt) {
+    Fixture f;
+    f.list(Availability::Ready);
+    f.holds = false;
+    std::string got = "(nothing yet)";
+    f.scheduler.spawn(f.host(got, ""));
+    const auto result = f.played();
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->outcome, Outcome::Moot);
+    EXPECT_EQ(f.counters.attempts, 0U);
+}
+
 TEST(Attempt, OfAConnectionFromBeforeTheStartGoesToADrainingHostToo) {
     Fixture f;
     f.list(Availability::Draining);
--- a/tests/driver.hpp
+++ b/tests/driver.hpp
@@ -143,6 +143,9 @@
         }));
     }
 
+    // Whether its last attempt may still begin.
+    bool holds(RequestId request) const { return rules_->holds(now_, request); }
+
     void establish(RequestId request) {
         give(Established{request, attempt(request), HostId{target(request)}, 30ms});
     }
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -3,8 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include <coroutine>
-#include <exception>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -34,7 +32,6 @@
     std::vector<Event> seen;
     ScriptedRules::Answer answer;
     Time clock{1'000'000};
-    std::vector<std::coroutine_handle<>> resumable;
     std::vector<HostId> probes;
     int watches = 0;
     Facade facade;
@@ -44,15 +41,9 @@
                  [this](Settings) { return std::make_unique<ScriptedRules>(seen, answer); }) {}
 
     Time now() const override { return clock; }
-    void resume(std::coroutine_handle<> picked) override { resumable.push_back(picked); }
     void probe(HostId host) override { probes.push_back(host); }
     void watchList() override { ++watches; }
 
-    void runResumable() {
-        for (const auto handle : std::exchange(resumable, {})) {
-            handle.resume();
-        }
-    }
     template <class E>
     const E& last() const {
         return std::get<E>(seen.back());
@@ -64,19 +55,9 @@
     void ordered() override { ++orders; }
 };
 
-// A coroutine that runs by itself; it ends before the test does.
-struct Run {
-    struct promise_type {
-        Run get_return_object() { return {}; }
-        std::suspend_never initial_suspend() { return {}; }
-        std::suspend_never final_suspend() noexcept { return {}; }
-        void return_void() {}
-        void unhandled_exception() { std::terminate(); }
-    };
-};
-
-Run pickInto(Facade& facade, Ticket& ticket, std::vector<Verdict>& verdicts) {
-    verdicts.push_back(co_await facade.pick(ticket));
+// Keeps the decision, if there is one.
+void pickInto(Facade& facade, Ticket& ticket, std::vector<Verdict>& verdicts) {
+    if (const auto verdict = facade.pick(ticket)) verdicts.push_back(*verdict);
 }
 
 std::vector<Action> sendTo(const Event& event, HostId host) {
@@ -94,10 +75,10 @@
     ASSERT_EQ(verdicts.size(), 1U);
     EXPECT_EQ(std::get<Go>(verdicts[0]).host, HostId{7});
     EXPECT_EQ(std::get<Go>(verdicts[0]).timeout, 300ms);
-    EXPECT_FALSE(ticket.calledOff());
+    EXPECT_FALSE(ticket.decided());
 }
 
-TEST(Facade, PickWaitsWhileTheModuleHoldsTheRequestAndIsResumedOnce) {
+TEST(Facade, ThereIsNothingToPickWhileTheModuleHoldsTheRequestAndItsOwnerIsToldOnce) {
     Fixture f;
     Owner owner;
     Ticket ticket{f.facade, owner, Asked{}};
@@ -107,11 +88,15 @@
     const RequestId id = f.last<Arrived>().request;
     f.answer = [id](const Event&) { return std::vector<Action>{Refuse{id, 400ms}}; };
     f.facade.probed(HostId{1}, Outcome::Ok, 1ms, std::nullopt);
-    EXPECT_EQ(f.resumable.size(), 1U);
-    EXPECT_TRUE(verdicts.empty()) << "never resumed from inside the facade";
-    f.runResumable();
+    EXPECT_EQ(owner.orders, 1);
+    EXPECT_TRUE(ticket.decided());
+    const std::size_t before = f.seen.size();
+    pickInto(f.facade, ticket, verdicts);
     ASSERT_EQ(verdicts.size(), 1U);
     EXPECT_EQ(std::get<Refusal>(verdicts[0]).notBefore, 400ms);
+    EXPECT_FALSE(ticket.decided());
+    EXPECT_EQ(owner.orders, 1);
+    EXPECT_EQ(f.seen.size(), before) << "the module heard of it once";
 }
 
 TEST(Facade, AFailedAttemptLeadsToTheNextPick) {
@@ -150,7 +135,7 @@
     const int before = owner.orders;
     f.answer = [id](const Event&) { return std::vector<Action>{Cancel{id, AttemptIndex{0}}, Fail{id}}; };
     f.facade.listFailed();
-    EXPECT_TRUE(ticket.calledOff());
+    EXPECT_TRUE(ticket.decided());
     EXPECT_EQ(owner.orders, before + 1);
     pickInto(f.facade, ticket, verdicts);
     ASSERT_EQ(verdicts.size(), 2U);
@@ -185,18 +170,20 @@
     std::vector<Verdict> verdicts;
     Ticket waiting{f.facade, owner, Asked{}};
     pickInto(f.facade, waiting, verdicts);
+    EXPECT_TRUE(verdicts.empty());
     f.facade.giveUp(waiting);
     EXPECT_TRUE(std::holds_alternative<ClientLeft>(f.seen.back()));
-    f.runResumable();
+    EXPECT_EQ(owner.orders, 1);
+    pickInto(f.facade, waiting, verdicts);
     ASSERT_EQ(verdicts.size(), 1U);
     EXPECT_TRUE(std::holds_alternative<Failure>(verdicts[0]));
 
     f.answer = [](const Event& event) { return sendTo(event, HostId{7}); };
     Ticket out{f.facade, owner, Asked{}};
     pickInto(f.facade, out, verdicts);
-    EXPECT_FALSE(out.calledOff());
+    EXPECT_FALSE(out.decided());
     f.facade.giveUp(out);
-    EXPECT_TRUE(out.calledOff());
+    EXPECT_TRUE(out.decided());
     const std::size_t before = f.seen.size();
     f.facade.giveUp(out);
     EXPECT_EQ(f.seen.size(), before) << "only once";
@@ -298,6 +285,14 @@
     f.facade.listed(false, {ListedHost{"s-2", "a", "m1", 0, 1.0, Availability::Gone, 0s}});
     EXPECT_FALSE(f.facade.accepts(hostIdOf("s-2")));
 
+    f.facade.listed(false, {ListedHost{"s-3", "c", "m1", 0, 1.0, Availability::Ready, 0s},
+                            ListedHost{"s-4", "d", "m1", 0, 1.0, Availability::Ready, 0s},
+                            ListedHost{"s-5", "c", "m1", 0, 1.0, Availability::Ready, 0s}});
+    const ListChanged further = f.last<ListChanged>();
+    EXPECT_EQ(further.hosts.at(0).zone, further.hosts.at(2).zone);
+    EXPECT_NE(further.hosts.at(0).zone, further.hosts.at(1).zone)
+        << "zones that the settings do not name are told apart: they drop no repeats of each other";
+
     Owner owner;
     std::vector<Verdict> verdicts;
     Ticket ticket{f.facade, owner, Asked{"call", "two", "g1", "k1", 900.0, 2s, true}};
--- a/tests/list_test.cpp
+++ b/tests/list_test.cpp
@@ -81,7 +81,6 @@
     ~Fixture() override { scheduler.dropTasks(); }
 
     Time now() const override { return scheduler.now(); }
-    void resume(std::coroutine_handle<> picked) override { scheduler.post(picked); }
     void probe(HostId) override {}
     void watchList() override {}
 
--- a/tests/node_harness.hpp
+++ b/tests/node_harness.hpp
@@ -309,6 +309,7 @@
         std::vector<std::string> classes = {"chat"};
         std::string listMode = "ask";
         int drainGraceMs = 500;
+        bool probes = true;
         std::vector<int> signalsAtStart;  // that come while the node reads its configuration
     };
 
@@ -452,7 +453,8 @@
                R"(]},"settings":{"instances":1,"registryMode":")" + o.listMode +
                R"(","failureDomains":["a"],"kinds":["m1"],
                "bounds":{"attemptsCap":)" +
-               std::to_string(o.attempts) + R"(,"cancel":true,"probes":true,"retryAfter":true,
+               std::to_string(o.attempts) + R"(,"cancel":true,"probes":)" + (o.probes ? "true" : "false") +
+               R"(,"retryAfter":true,
                "maxRetryAfter":1000000,"connectTimeout":5000000},
                "report":{"how":"on_probe","fields":["x0","cpu"]},
                "rules":{"drainGrace":)" +
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -150,6 +150,61 @@
     EXPECT_EQ(d.finals(request), 1);
 }
 
+// The connection for it comes up when the window has passed: the hosts have forgotten the first attempt.
+TEST(Effects, AnAttemptDoesNotBeginOnceTheWindowOfAKeyedRequestHasPassed) {
+    Settings settings = withEffect(Effect::Keyed, RepeatGroup::All);
+    settings.classes[0].repeatWindow = 1s;
+    Driver d = ready(settings, {host(1), host(2)});
+    const RequestId request = d.ask();
+    EXPECT_TRUE(d.holds(request));
+    d.pass(900ms);
+    d.end(request, Outcome::Timeout);
+    ASSERT_EQ(d.sends(request), 2);
+    EXPECT_TRUE(d.holds(request));
+    d.pass(90ms);
+    EXPECT_FALSE(d.holds(request));
+    d.end(request, Outcome::Moot);
+    EXPECT_EQ(d.sends(request), 2);
+    EXPECT_EQ(d.finals(request), 1);
+}
+
+TEST(Effects, AnAttemptDoesNotBeginAtAHostThatIsNoLongerTheOneThatWasDrawn) {
+    HostEntry anew = host(1);
+    anew.launched = 900s;
+    HostEntry drains = host(1);
+    drains.availability = Availability::Draining;
+    for (const HostEntry& now : {anew, drains}) {
+        Driver d = ready(usualSettings(), {host(1)});
+        const RequestId request = d.ask();
+        EXPECT_TRUE(d.holds(request));
+        d.list({now}, ListKind::Delta);
+        EXPECT_FALSE(d.holds(request));
+    }
+    Driver d = ready(usualSettings(), {host(1)});
+    const RequestId request = d.ask();
+    d.give(HostBanned{HostId{1}, true});
+    EXPECT_FALSE(d.holds(request));
+    d.give(HostBanned{HostId{1}, false});
+    EXPECT_TRUE(d.holds(request));
+    d.give(ClientLeft{request});
+    EXPECT_FALSE(d.holds(request));
+}
+
+// A host's group is known from when it was sent to.
+TEST(Effects, AKeyedRequestGoesOnInItsGroupThoughItsFirstHostHasLeftTheList) {
+    for (const RepeatGroup group : {RepeatGroup::Zone, RepeatGroup::Cell}) {
+        Driver d = ready(withEffect(Effect::Keyed, group), {host(1, 1, 1)});
+        const RequestId request = d.ask();
+        ASSERT_EQ(d.target(request), 1U);
+        d.list({}, ListKind::Full);
+        d.end(request, Outcome::Reset);
+        ASSERT_EQ(d.finals(request), 0);
+        d.list({host(2, 0, 0), host(3, 1, 1)});
+        d.pass(200ms);
+        EXPECT_EQ(d.target(request), 3U);
+    }
+}
+
 TEST(Effects, AKeyedRequestThatMayHaveRunIsRefusedOnlyWhereAllHostsDropRepeats) {
     for (const RepeatGroup group : {RepeatGroup::All, RepeatGroup::Zone, RepeatGroup::Cell}) {
         Settings settings = withEffect(Effect::Keyed, group);
