Stopping goes on as long as the node: what comes late is moved or answered, stood-before ones too

Causes, read in src/net/clients.cpp and src/facade/facade.cpp: - drain() returned once nobody was left (1.6 s after SIGTERM at the earliest). A line that came in pieces, or a connection slow on its way through the front, was served after that, and at SIGKILL it was lost: nobody moved it or answered it. - Connections from before the start that were still being taken up stood in no list: neither moved nor given up. - A node told to stop before it served (a pushed list on its way) told the front afterwards that it does (serveNow). - longestPatience counted classes that the settings have dropped: the node would move and answer after it could be killed.

Tests, each failing without its part (checked by undoing it): Node.MovesAndAnswersWhatComesAfterItWasDrainedToo, Node.AnswersWhoWaitsForTheHostOfBeforeTheStart..., NodeStart.OneThatIsToldToStopBeforeItServes..., Facade.TheLongestPatience...

--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -252,8 +252,9 @@
 
 Micros Facade::longestPatience() const {
     Micros longest{0};
-    for (const ClassSettings& cls : settings_.settings.classes) {
-        longest = std::max(longest, cls.giveUp);
+    for (std::size_t i = 0; i < settings_.classNames.size(); ++i) {
+        if (knowsClass(settings_.classNames[i]))
+            longest = std::max(longest, settings_.settings.classes[i].giveUp);
     }
     return longest;
 }
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -172,7 +172,7 @@
     std::size_t hostsListed() const;
     std::size_t hostsAvoided() const { return rules_->avoided(); }
     bool knowsClass(std::string_view name) const;
-    // The longest time that any class's clients wait.
+    // The longest time that clients wait, of the classes that the settings name now.
     Micros longestPatience() const;
     // When a client that the node itself turns away should come back; 0: not to be told.
     Micros comeBackAfter() const {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -349,15 +349,17 @@
 // A connection that stood at its host before this node started.
 Task<void> Clients::takeUp(Exchange& exchange, const Opening& opening, ClassCounts& counts) {
     Ticket ticket{facade_, exchange, asked(opening)};
+    std::optional<Listed<Exchange>> stood{std::in_place, standing_, exchange};
     const HostId host = hostIdOf(opening.value("at"));
     const Time until = scheduler_.now() + kTakeUpFor;
     RelayState state;
-    while (scheduler_.now() < until) {
+    while (scheduler_.now() < until && !exchange.leave) {
         const AttemptResult result = co_await hosts_.attempt(exchange, ticket, opening,
                                                              {host, until - scheduler_.now(), true, counts});
         if (result.kind == AttemptResult::Kind::Forsaken)
             co_return co_await forsaken(exchange, ticket, counts);
         if (result.kind == AttemptResult::Kind::Up) {
+            stood.reset();
             ++counters_.resumed;
             facade_.stands(ticket, host);
             ++counters_.up;
@@ -365,7 +367,7 @@
             co_return co_await relay(exchange, ticket, opening, state);
         }
         const Time again = scheduler_.now() + kTakeUpAgain;
-        while (scheduler_.now() < again) {
+        while (scheduler_.now() < again && !exchange.leave) {
             exchange.client.fill();
             if (exchange.forsaken()) co_return co_await forsaken(exchange, ticket, counts);
             co_await exchange.signal.wait(again);
@@ -434,15 +436,17 @@
 // a while: that is served, and moved with the rest. All are moved in even steps in the second half of the
 // time that a node has at the least before it is killed: they are served meanwhile, and where nodes restart
 // one after another, the one before has come back by then.
-Task<void> Clients::drain(Successor& successor) {
+Task<void> Clients::drain(Successor& successor, std::function<void()> drained) {
+    draining_ = true;
     serving_ = false;
     Signal pause{scheduler_};
     const Time start = scheduler_.now();
     const Micros mayTake = std::min(facade_.longestPatience(), kLongestDeadline) + kKilledAfter;
     const Time answered = start + std::max(mayTake - kDrainMargin, kFrontNotices + kDrainStep);
     const Time moveFrom = start + std::max(kFrontNotices, (answered - start) / 2);
-    while (requests_ > 0 || scheduler_.now() < moveFrom) {
+    for (;;) {
         const Time now = scheduler_.now();
+        if (requests_ == 0 && now >= moveFrom && drained) std::exchange(drained, nullptr)();
         for (Exchange* exchange : standing_) {
             if (!successor.serves()) break;
             exchange->successor = &successor;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <memory>
 #include <set>
@@ -40,11 +41,11 @@
     void limitDescriptors(std::size_t most) { mostDescriptors_ = most; }
     // Connections taken and not ended.
     std::size_t current() const { return requests_; }
-    // From now on the front is told that the node serves.
-    void serveNow() { serving_ = true; }
-    // Moves all clients before the node stops, or hands them over while a successor serves, and returns when
-    // all are gone.
-    Task<void> drain(Successor& successor);
+    // From now on the front is told that the node serves, unless it stops already.
+    void serveNow() { serving_ = !draining_; }
+    // Moves all clients before the node stops, or hands them over while a successor serves, and says when all
+    // are gone. It goes on as long as the node: what still comes then is owed the same.
+    Task<void> drain(Successor& successor, std::function<void()> drained);
     // Goes on with a connection that stood at another node.
     void adopt(const StandingConnection& connection);
 
@@ -78,13 +79,14 @@
     Signal signal_;
     Socket listener_;
     bool serving_ = false;
+    bool draining_ = false;
     bool taking_ = true;
     std::list<Unopened*> unopened_;          // connections without a request, the oldest first
     std::unordered_set<std::uint64_t> ids_;  // of the requests in progress or up, and of those lately ended
     std::deque<std::pair<Time, std::uint64_t>> endedIds_;  // the latter, with their ends
     std::size_t requests_ = 0;                             // in progress or up
     std::set<Ticket*> placing_;                            // requests without a final answer
-    std::set<Exchange*> standing_;                         // connections that are up
+    std::set<Exchange*> standing_;  // connections that are up, or stood before the start
 };
 
 }  // namespace ivyreel::net
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -52,7 +52,7 @@
     bool connected = false;
     for (;;) {
         const Time now = scheduler.now();
-        if (ticket.decided()) {
+        if (ticket.decided() || (target.standing && exchange.leave)) {
             host = Connection{};
             co_return AttemptResult{AttemptResult::Kind::CalledOff, {}, {}, {}};
         }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -267,9 +267,10 @@
 
 // After SIGTERM a drained node waits for its end; one that is interrupted by hand ends by itself.
 net::Task<void> Node::stop(bool exit) {
-    co_await clients_.drain(handover_);
-    spdlog::info("drained; counters: {}", counters_.text());
-    if (exit) scheduler_.stop();
+    co_await clients_.drain(handover_, [this, exit] {
+        spdlog::info("drained; counters: {}", counters_.text());
+        if (exit) scheduler_.stop();
+    });
 }
 
 }  // namespace ivyreel
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -362,6 +362,19 @@
     EXPECT_EQ(f.last<SettingsChanged>().settings.classes[1].worth, 2.0) << "back in its place";
 }
 
+// The time until a stopping node is killed goes by what the settings say now.
+TEST(Facade, TheLongestPatienceIsThatOfTheClassesThatAreOfferedNow) {
+    NodeSettings both = named({"a", "b"}, {"x"}, 1);
+    both.settings.classes[0].giveUp = 5s;
+    both.settings.classes[1].giveUp = 1s;
+    Fixture f{both};
+    EXPECT_EQ(f.facade.longestPatience(), 5s);
+    NodeSettings one = named({"b"}, {"x"}, 1);
+    one.settings.classes[0].giveUp = 2s;
+    f.facade.change(one);
+    EXPECT_EQ(f.facade.longestPatience(), 2s);
+}
+
 TEST(Facade, TakesAGroupOfZerosForNone) {
     NodeSettings settings;
     settings.settings.groupsShareWork = true;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -335,6 +335,37 @@
     node.logged("drained");
 }
 
+// Its line may take its time, or its connection the way through the front.
+TEST(Node, MovesAndAnswersWhatComesAfterItWasDrainedToo) {
+    ToyHost host;
+    Node::Options options = with(host);
+    options.giveUpMs = 1000;
+    Node node{options};
+    node.signal(SIGTERM);
+    node.logged("drained");
+    Pair late = up(node, host);
+    EXPECT_EQ(late.client.line(), "MOVE");
+    Wire asks = node.client("OPEN 9b1f 7f3a c=chat,d=60000\r\n");
+    const auto opened = host.next();
+    EXPECT_EQ(asks.line(), "ERR");
+}
+
+TEST(Node, AnswersWhoWaitsForTheHostOfBeforeTheStartBeforeItIsKilled) {
+    ToyHost host;
+    Node::Options options = with(host);
+    options.giveUpMs = 1000;
+    Node node{options};
+    Wire client = node.client("OPEN 9b1f 7f3a c=chat,at=s-9\r\n");
+    Wire silent = node.client("OPEN 9b20 7f3a c=chat,at=s-1\r\n");
+    const auto opened = host.next();
+    node.signal(SIGTERM);
+    EXPECT_EQ(client.line(), "ERR");
+    EXPECT_EQ(silent.line(), "ERR");
+    client.close();
+    silent.close();
+    node.logged("drained");
+}
+
 TEST(Node, EndsAtOnceWhenInterruptedTwiceWithConnectionsUp) {
     ToyHost host;
     Node node{with(host)};
@@ -611,6 +642,19 @@
     EXPECT_TRUE(before.idle());
 }
 
+// What comes is served, but the front is not told to send more.
+TEST(NodeStart, OneThatIsToldToStopBeforeItServesDoesNotTellTheFrontThatItDoes) {
+    ToyHost host;
+    ToyDiscovery discovery;
+    Node::Options options = with(host, discovery);
+    options.listMode = "push";
+    options.signalsAtStart = {SIGTERM};
+    Node node{options};  // nobody answers its call: it serves in the end
+    Wire front = node.client("PING\r\n");
+    EXPECT_EQ(front.line(), "(end)");
+    up(node, host);
+}
+
 // Without its sender it serves on what was known.
 TEST(NodeStart, WhereTheListIsPushedServesAtOnceIfNobodySendsIt) {
     ToyHost host;
