Null counts as absent in lists and configuration; a pushed list is awaited for half a second

Causes, read in src/net/list.cpp, src/config.cpp, src/settings/settings.cpp and src/node.cpp: - A list that writes every key, with null for what there is not, was turned down whole (Json::value throws on null): as 'known' it kept the node from starting, on the watch it ended each watch, for ever. Settings took null for absent already. - A number of attempts over 255 kept the node from starting; more than that are never made. - The wait for a pushed list at the start took clients' connections only after up to 1.5 s, while their time ran: half a second now, after which a late answer would be lost.

Tests: List.TakesNullForAbsent, Config.TakesNullForAbsentAndMoreAttemptsThanAreEverMade, failing without (checked by undoing).

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <stdexcept>
 
+#include "json_value.hpp"
 #include "number.hpp"
 
 namespace ivyreel {
@@ -87,13 +88,13 @@
     try {
         const Json document = Json::parse(text);
         Config config;
-        config.name = fromEnvironment("RELAY_NAME", document.value("name", std::string("node")));
+        config.name = fromEnvironment("RELAY_NAME", valueOr(document, "name", std::string("node")));
         config.listen =
-            address(fromEnvironment("RELAY_LISTEN", document.value("listen", std::string())), "listen");
+            address(fromEnvironment("RELAY_LISTEN", valueOr(document, "listen", std::string())), "listen");
         const std::string console =
-            fromEnvironment("RELAY_CONSOLE", document.value("console", std::string()));
+            fromEnvironment("RELAY_CONSOLE", valueOr(document, "console", std::string()));
         if (!console.empty()) config.console = address(console, "console");
-        const std::string discovery = document.value("discovery", std::string());
+        const std::string discovery = valueOr(document, "discovery", std::string());
         const bool fromFile = reading == Reading::Again && !discovery.empty();
         config.discovery =
             address(fromFile ? discovery : fromEnvironment("RELAY_DISCOVERY", discovery), "discovery");
@@ -107,7 +108,7 @@
         // would begin the watch, or begin it again once it broke.
         config.listPushed = config.settings.settings.listMode == ListMode::Push;
         config.settings.settings.listMode = ListMode::Ask;
-        config.settings.settings.seed = seed(document.value("seed", std::string("0")));
+        config.settings.settings.seed = seed(valueOr(document, "seed", std::string("0")));
         return config;
     } catch (const Json::exception& error) {
         throw std::runtime_error(std::string("bad configuration: ") + error.what());
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "json_value.hpp"
 #include "net/http.hpp"
 
 namespace ivyreel::net {
@@ -45,17 +46,17 @@
     const Json document = Json::parse(json);
     ListUpdate update;
     update.version = document.at("version").get<std::uint64_t>();
-    update.full = document.value("full", false);
+    update.full = valueOr(document, "full", false);
     for (const Json& server : document.at("servers")) {
         ListedHost host;
         host.name = server.at("id").get<std::string>();
-        host.availability = availability(server.value("state", std::string("active")));
-        host.zone = server.value("zone", std::string());
-        host.kind = server.value("kind", std::string());
-        host.cell = server.value("cell", 0U);
-        host.weight = server.value("weight", 1.0);
-        host.started = std::chrono::milliseconds(server.value("started_ms", std::int64_t{0}));
-        const auto address = Address::parse(server.value("addr", std::string()));
+        host.availability = availability(valueOr(server, "state", std::string("active")));
+        host.zone = valueOr(server, "zone", std::string());
+        host.kind = valueOr(server, "kind", std::string());
+        host.cell = valueOr(server, "cell", 0U);
+        host.weight = valueOr(server, "weight", 1.0);
+        host.started = std::chrono::milliseconds(valueOr(server, "started_ms", std::int64_t{0}));
+        const auto address = Address::parse(valueOr(server, "addr", std::string()));
         if (!address && host.availability != Availability::Gone)
             throw std::runtime_error("bad address of " + host.name + " in the list");
         update.hosts.push_back(std::move(host));
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -20,6 +20,8 @@
 
 constexpr Micros kListWithin =
     1500ms;  // a node that takes over serves on what it was given, at the latest then
+constexpr Micros kPushedWithin =
+    500ms;  // a pushed list is there at once; clients that come meanwhile wait unread
 constexpr Micros kListPoll = 10ms;
 constexpr std::size_t kUnwatched = 8;  // descriptors that are not watched: the log, epoll and the like
 
@@ -124,9 +126,9 @@
 }
 
 // What was known before may be old: a process begins with the list as it is now, if that comes soon.
-net::Task<void> Node::awaitList() {
+net::Task<void> Node::awaitList(Micros within) {
     net::Signal pause{scheduler_};
-    const Time until = scheduler_.now() + kListWithin;
+    const Time until = scheduler_.now() + within;
     while (!list_.settled() && scheduler_.now() < until) {
         co_await pause.wait(scheduler_.now() + kListPoll);
     }
@@ -134,13 +136,13 @@
 
 // Where the list is pushed, what its sender has counts as told from the first moment.
 net::Task<void> Node::begin() {
-    co_await awaitList();
+    co_await awaitList(kPushedWithin);
     serve();
 }
 
 net::Task<void> Node::takeOver(int link) {
     scheduler_.spawn(handover_.follow(link));
-    co_await awaitList();
+    co_await awaitList(kListWithin);
     serve();
     handover_.serve();
 }
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -60,7 +60,7 @@
     std::size_t leftForClients() const;
     void serve();
     void listSettings();
-    net::Task<void> awaitList();
+    net::Task<void> awaitList(Micros within);
     net::Task<void> begin();
     net::Task<void> takeOver(int link);
     net::Task<void> followSignals();
--- a/src/rules.hpp
+++ b/src/rules.hpp
@@ -285,8 +285,8 @@
     // Takes one event at the time `now` and appends the actions that answer it. Started comes first, once.
     virtual void handle(Time now, const Event& event, std::vector<Action>& actions) = 0;
 
-    // Whether the attempt that it last wanted for this request may still begin: the connection for it takes its
-    // time to come up, and what the attempt was decided by may have changed meanwhile.
+    // Whether the attempt that it last wanted for this request may still begin: the connection for it takes
+    // its time to come up, and what the attempt was decided by may have changed meanwhile.
     virtual bool holds(Time /*now*/, RequestId /*request*/) const { return true; }
 
     // How many listed hosts it avoids now, by hand or by choice.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -207,7 +207,8 @@
     s.goalNines = root.section("goal").number("availability", s.goalNines, 0.0, 1.0);
 
     const Section bounds = root.section("bounds");
-    s.limits.attempts = static_cast<int>(bounds.number("attemptsCap", s.limits.attempts, 1, 255));
+    // More than an index counts are never made.
+    s.limits.attempts = static_cast<int>(std::min(255.0, bounds.number("attemptsCap", s.limits.attempts, 1)));
     s.limits.cancel = bounds.flag("cancel", s.limits.cancel);
     s.limits.secondCopies = bounds.flag("secondCopies", s.limits.secondCopies);
     s.limits.probes = bounds.flag("probes", s.limits.probes);
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -192,6 +192,19 @@
     EXPECT_EQ(update.hosts[1].started, Time{0});
 }
 
+// Some write every key, with null for what there is not.
+TEST(List, TakesNullForAbsent) {
+    const ListUpdate update = ListUpdate::parse(
+        R"({"version":7,"full":null,"servers":[{"id":"s","addr":"127.0.0.1:1","zone":null,"kind":null,"cell":null,
+            "state":null,"weight":null,"started_ms":null},{"id":"t","addr":null,"state":"left"}]})");
+    ASSERT_EQ(update.hosts.size(), 2U);
+    EXPECT_FALSE(update.full);
+    EXPECT_EQ(update.hosts[0].zone, "");
+    EXPECT_EQ(update.hosts[0].weight, 1.0);
+    EXPECT_EQ(update.hosts[0].availability, Availability::Ready);
+    EXPECT_EQ(update.hosts[1].availability, Availability::Gone);
+}
+
 TEST(List, RejectsWhatItCannotRead) {
     EXPECT_ANY_THROW(ListUpdate::parse("nonsense"));
     EXPECT_ANY_THROW(ListUpdate::parse(R"({"servers":[]})"));
@@ -208,6 +221,15 @@
     }
 }
 
+TEST(Config, TakesNullForAbsentAndMoreAttemptsThanAreEverMade) {
+    const Config config = parseConfig(
+        R"({"name":null,"listen":"127.0.0.4:8080","discovery":"127.0.0.5:8500","console":null,"seed":null,
+            "limits":null,"known":null,"settings":{"bounds":{"attemptsCap":1000}}})");
+    EXPECT_EQ(config.name, "node");
+    EXPECT_FALSE(config.console);
+    EXPECT_EQ(config.settings.settings.limits.attempts, 255);
+}
+
 TEST(Config, IsReadOrNamesWhatIsWrong) {
     const Config config = parseConfig(
         R"({"name":"n3","listen":"127.0.0.4:8080","discovery":"127.0.0.5:8500","seed":"ff",
