--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -160,13 +160,15 @@
     ToyDiscovery::Watch watch;
     Wire client;
 
-    Connecting()
-        : node(options(full, discovery)), watch(discovery.next()), client(node.client(newOpening())) {
+    explicit Connecting(const std::string& effect = "free")
+        : node(options(full, discovery, effect)), watch(discovery.next()), client(node.client(newOpening())) {
         watch.begin();
         awaitCounter(node, "requests", 1);
     }
-    static Node::Options options(const FullHost& full, const ToyDiscovery& discovery) {
+    static Node::Options options(const FullHost& full, const ToyDiscovery& discovery,
+                                 const std::string& effect) {
         Node::Options options;
+        options.effect = effect;
         options.hosts = {{"s-1", full.address()}};
         options.discovery = discovery.address();
         options.probes = false;
@@ -186,6 +188,24 @@
     EXPECT_EQ(c.node.counter("attempts"), 0);
 }
 
+// It never had the line, so even a request that may not be repeated goes out again.
+TEST(HostCloses, AConnectionThatHasJustComeUp) {
+    for (const bool resets : {false, true}) {
+        Connecting c{"single_shot"};
+        c.node.signal(SIGSTOP);
+        const Wire before = c.full.take();
+        Wire up = c.full.take();
+        if (resets) up.reset();
+        up.close();
+        c.node.signal(SIGCONT);
+        Wire again = c.full.take();
+        EXPECT_TRUE(again.line().starts_with("OPEN "));
+        again.say("UP r1\r\n");
+        EXPECT_EQ(c.client.line(), "UP r1");
+        EXPECT_EQ(c.node.counter("attempts"), 1);
+    }
+}
+
 TEST(ListChanges, WhileAConnectionComesUpAndTheHostDrains) {
     Connecting c;
     c.watch.line(
