Hand-over: descriptors go with their connection, also where it cannot be read

Cause, read in src/net/handover.cpp: hear() read what was said of a connection before it took the two descriptors that came with it. Where that threw, they stayed at the front of the queue, and each connection after it was joined to the two before: one client's lines would go to another's host. Not seen; forced by a predecessor of the test's own that says a connection without an opening line and then a sound one. Without the change the sound one hears nothing (checked by undoing).

--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -314,6 +314,14 @@
         }
     }
 
+    // The next descriptor that has come.
+    int take() {
+        if (came.empty()) throw std::runtime_error("a connection without its descriptors");
+        const int descriptor = came.front();
+        came.erase(came.begin());
+        return descriptor;
+    }
+
     // The next whole message; none if there is none.
     std::optional<std::string> message() {
         const std::size_t end = in.find('\n');
@@ -462,7 +470,13 @@
             party_.toldBan(HostId{said.at("ban").get<std::uint64_t>()}, said.at("on").get<bool>());
             tell(message + "\n", &link);
         } else if (said.contains("connection") && link.toOlder) {
-            adopt(link, readStanding(said));
+            // Its descriptors go with it whatever it says: left there, they would pass for the next one's.
+            Owned client{link.take()};
+            Owned host{link.take()};
+            StandingConnection connection = readStanding(said);
+            connection.clientSocket = client.give();
+            connection.hostSocket = host.give();
+            party_.adopt(connection);
         } else if (said.contains("reload")) {
             party_.toldReload();
             tell(message + "\n", &link);
@@ -472,14 +486,6 @@
     }
 }
 
-void Handover::adopt(Link& link, StandingConnection connection) {
-    if (link.came.size() < 2) throw std::runtime_error("a connection without its descriptors");
-    connection.clientSocket = link.came[0];
-    connection.hostSocket = link.came[1];
-    link.came.erase(link.came.begin(), link.came.begin() + 2);
-    party_.adopt(connection);
-}
-
 bool Handover::serves() const {
     return std::any_of(links_.begin(), links_.end(), [](const Link* link) { return link->serves; });
 }
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -104,7 +104,6 @@
     Task<void> converse(Link& link);
     bool mayHave(const std::string& question) const;
     void hear(Link& link, const std::string& message);
-    void adopt(Link& link, StandingConnection connection);
     void tell(const std::string& message, const Link* except = nullptr);
     bool open();
     void stopListening();
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,8 +1,11 @@
 // Two processes of the node: one goes on in the other's place.
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <filesystem>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "node_harness.hpp"
@@ -223,6 +226,91 @@
     EXPECT_EQ(node->stop(), 0) << node->rest();
 }
 
+// A node before this one, as far as the link goes.
+class Predecessor {
+  public:
+    explicit Predecessor(const Shared& shared) : listener_(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        sockaddr_un address{};
+        address.sun_family = AF_UNIX;
+        std::snprintf(address.sun_path, sizeof address.sun_path, "%s/ivyreel-n0.sock", shared.path().c_str());
+        EXPECT_EQ(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+        EXPECT_EQ(::listen(listener_, 1), 0);
+    }
+    Predecessor(const Predecessor&) = delete;
+    Predecessor& operator=(const Predecessor&) = delete;
+    ~Predecessor() {
+        ::close(link_);
+        ::close(listener_);
+    }
+
+    void take() {
+        link_ = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        char question[4096];
+        EXPECT_GT(::recv(link_, question, sizeof question, 0), 0);
+    }
+    // What is said, with descriptors that are its own from then on.
+    void say(const std::string& text, const std::vector<int>& descriptors) const {
+        alignas(cmsghdr) char control[CMSG_SPACE(2 * sizeof(int))] = {};
+        iovec part{const_cast<char*>(text.data()), text.size()};
+        msghdr message{};
+        message.msg_iov = &part;
+        message.msg_iovlen = 1;
+        message.msg_control = control;
+        message.msg_controllen = CMSG_SPACE(descriptors.size() * sizeof(int));
+        cmsghdr* rights = CMSG_FIRSTHDR(&message);
+        rights->cmsg_level = SOL_SOCKET;
+        rights->cmsg_type = SCM_RIGHTS;
+        rights->cmsg_len = CMSG_LEN(descriptors.size() * sizeof(int));
+        std::memcpy(CMSG_DATA(rights), descriptors.data(), descriptors.size() * sizeof(int));
+        EXPECT_EQ(::sendmsg(link_, &message, MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+        for (const int descriptor : descriptors) {
+            ::close(descriptor);
+        }
+    }
+    // A connection that stands: its two ends that stay here, and what is said of it.
+    Pair hand(const std::string& said) const {
+        int client[2];
+        int host[2];
+        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, client), 0);
+        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, host), 0);
+        say(said, {client[1], host[1]});
+        return {Wire{client[0]}, Wire{host[0]}};
+    }
+
+  private:
+    int listener_;
+    int link_ = -1;
+};
+
+// The descriptors of one that cannot be gone on with would be taken for those of the next.
+TEST(Upgrade, AConnectionThatCannotBeReadTakesNothingFromTheNext) {
+    Shared shared;
+    Predecessor before{shared};
+    Node::Options options;
+    options.directory = shared.path();
+    std::optional<Pair> broken;
+    std::optional<Pair> sound;
+    std::thread old([&] {
+        before.take();
+        const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        const sockaddr_in address = loopback(0);
+        EXPECT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+        EXPECT_EQ(::listen(listener, 16), 0);
+        before.say("{}\n", {listener});
+        const std::string rest = R"(,"host":1,"from_client":"","from_host":"","to_host":0,"to_client":0,)"
+                                 R"("unanswered":9223372036854775807})"
+                                 "\n";
+        broken.emplace(before.hand(R"({"connection":"00")" + rest));
+        // "OPEN 1 2 c=chat" and its end
+        sound.emplace(before.hand(R"({"connection":"4f50454e2031203220633d636861740d0a")" + rest));
+    });
+    Node node{options};
+    old.join();
+    expectOver(broken->client);
+    expectEcho(*sound);
+    EXPECT_EQ(node.counter("adopted"), 1);
+}
+
 TEST(Upgrade, StartsWithoutAHandOverWhereNothingSoundIsThere) {
     Shared shared;
     ToyHost host;
