--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -65,16 +65,15 @@
             const Socket::Connecting state = host.socket.connecting();
             if (state == Socket::Connecting::Failed) co_return ended(Outcome::ConnectFailed);
             connected = state == Socket::Connecting::Done;
-            // A host that has ended it by now has never had the line.
-            if (connected) host.fill();
-            if (connected && host.over()) co_return ended(Outcome::ConnectFailed);
-            // It took its time to come up: what it was decided by may have changed.
-            const bool same = addressOf(target.host) == address;
-            if (connected && !(same && (target.standing || facade_.holds(ticket, target.host)))) {
-                ++counters_.notSent;
-                co_return ended(Outcome::Moot);
-            }
             if (connected) {
+                host.fill();
+                if (host.over()) co_return ended(Outcome::ConnectFailed);  // it never has the line
+                // It took its time to come up: what it was decided by may have changed.
+                const bool holds = target.standing || facade_.holds(ticket, target.host);
+                if (!holds || addressOf(target.host) != address) {
+                    ++counters_.notSent;
+                    co_return ended(Outcome::Moot);
+                }
                 text = opening.withTime(until - now);
                 ++counters_.attempts;
             }
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -217,7 +217,6 @@
         if (rest.front() != '{') throw std::runtime_error("what discovery sends is no list");
         const auto end = object_.end(rest);
         if (!end) break;
-        object_ = {};
         ListUpdate update = ListUpdate::parse(rest.substr(0, *end));
         begin += *end;
         any = true;
@@ -246,7 +245,7 @@
         } else if (c == '{' || c == '[') {
             ++depth_;
         } else if ((c == '}' || c == ']') && --depth_ == 0) {
-            return read_;
+            return std::exchange(read_, 0);
         }
     }
     return std::nullopt;
--- a/src/net/list.hpp
+++ b/src/net/list.hpp
@@ -33,7 +33,7 @@
 class FirstObject {
   public:
     // Where it ends; none yet if it is not whole. The text begins with it, and with what it held at the last
-    // call.
+    // call. After that the next one is looked for.
     std::optional<std::size_t> end(std::string_view text);
 
   private:
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -210,7 +210,6 @@
 // ---- signals ----
 
 int Node::openSignals() {
-    holdSignals();
     const sigset_t followed = followedSignals();
     return ::signalfd(-1, &followed, SFD_NONBLOCK | SFD_CLOEXEC);
 }
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -1,12 +1,7 @@
 // Rare moments at the whole node, each forced: what changes while a request waits.
 #include <gtest/gtest.h>
-#include <sys/wait.h>
 
-#include <cerrno>
-#include <functional>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "node_harness.hpp"
 
@@ -31,15 +26,10 @@
     Node node;
     ToyDiscovery::Watch watch;
 
-    explicit Waiting(const std::function<void(Node::Options&)>& adjust = [](Node::Options&) {})
-        : node(adjusted(with(host, discovery), adjust)), watch(discovery.next()) {
+    Waiting() : node(with(host, discovery)), watch(discovery.next()) {
         watch.begin();
         tell("leaving");
     }
-    static Node::Options adjusted(Node::Options options, const std::function<void(Node::Options&)>& adjust) {
-        adjust(options);
-        return options;
-    }
     void tell(const std::string& state) {
         watch.line(change(50 + ++changes, listed("s-1", host.address(), state)));
         awaitCounter(node, "list_changes", changes);
--- a/tests/list_test.cpp
+++ b/tests/list_test.cpp
@@ -84,6 +84,12 @@
     void probe(HostId) override {}
     void watchList() override {}
 
+    // Discovery takes calls, and one is wanted.
+    void watchSound() {
+        listener = discovery.listen(listening);
+        list.watch();
+    }
+
     // One call at discovery, read to its empty line.
     struct Call {
         explicit Call(Scheduler& scheduler) : signal(scheduler) {}
@@ -94,6 +100,11 @@
             connection.send(text, sent);
         }
         void begin() { say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+        // It is live from then on.
+        void beginEmpty() {
+            begin();
+            chunk("\n");
+        }
         void chunk(std::string_view text) {
             char size[32];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
@@ -175,8 +186,7 @@
 // Lists may come indented: one object on many lines, and pieces that end anywhere.
 TEST(List, ReadsAnIndentedListInPieces) {
     Fixture f;
-    f.listener = f.discovery.listen(f.listening);
-    f.list.watch();
+    f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         const auto call = co_await g.next();
         call->begin();
@@ -195,17 +205,14 @@
 // What it misses counts as told soon after: the module's back-off would take from the time that is left.
 TEST(List, AWatchThatFallsSilentIsBegunAnewWithoutTheModulesBackOff) {
     Fixture f;
-    f.listener = f.discovery.listen(f.listening);
-    f.list.watch();
+    f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         const auto silent = co_await g.next();
-        silent->begin();
-        silent->chunk("\n");
+        silent->beginEmpty();
         const auto anew = co_await g.next();
         EXPECT_EQ(g.heard.failures, 0) << "the module, and its back-off, had no part in it";
         EXPECT_EQ(g.counters.listFailures, 1U);
-        anew->begin();
-        anew->chunk("\n");
+        anew->beginEmpty();
         co_await g.until([&g] { return g.list.live(); });
     }));
 }
@@ -213,13 +220,11 @@
 TEST(List, AWatchThatEndsAtOnceIsLeftToTheModulesBackOff) {
     Fixture f;
     f.list.pushedWithin(100ms);
-    f.listener = f.discovery.listen(f.listening);
-    f.list.watch();
+    f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         {
             const auto brief = co_await g.next();
-            brief->begin();
-            brief->chunk("\n");
+            brief->beginEmpty();
             co_await g.until([&g] { return g.list.live(); });
         }
         co_await g.until([&g] { return g.heard.failures == 1; });
@@ -230,14 +235,12 @@
 // A call waits its turn at discovery; one that is made again waits anew.
 TEST(List, ACallThatWaitsItsTurnIsNotMadeAgain) {
     Fixture f;
-    f.listener = f.discovery.listen(f.listening);
-    f.list.watch();
+    f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         const auto call = co_await g.next();
         g.list.watch();
         co_await g.until([&g, turns = 0]() mutable { return ++turns > 4; });
-        call->begin();
-        call->chunk("\n");
+        call->beginEmpty();
         co_await g.until([&g] { return g.list.live() || g.counters.listFailures > 0; });
         EXPECT_EQ(g.counters.listFailures, 0U);
     }));
@@ -253,8 +256,7 @@
         co_await g.until([&g] { return g.counters.listFailures >= 3; });
         g.listener = g.discovery.listen(g.listening);
         const auto call = co_await g.next();
-        call->begin();
-        call->chunk("\n");
+        call->beginEmpty();
         co_await g.until([&g] { return g.list.live(); });
     }));
     EXPECT_EQ(f.heard.failures, 0);
@@ -263,13 +265,11 @@
 TEST(List, WhereItIsPushedAWatchThatBreaksIsBegunAnewAtOnce) {
     Fixture f;
     f.list.pushedWithin(100ms);
-    f.listener = f.discovery.listen(f.listening);
-    f.list.watch();
+    f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         {
             const auto broken = co_await g.next();
-            broken->begin();
-            broken->chunk("\n");
+            broken->beginEmpty();
             co_await g.until([&g, since = g.scheduler.now()] { return g.scheduler.now() > since + 1200ms; });
             broken->connection.socket.reset();
         }
