The list's watch becomes MembershipWatcher; messages and scanner have files of their own

Names only, and the seed of the back-off is passed in, so that many watchers of one process differ. Behaviour unchanged; the unit tests pass.

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -101,7 +101,7 @@
         if (const auto limits = document.find("limits"); limits != document.end())
             config.sockets = positive(*limits, "sockets");
         if (const auto known = document.find("known"); known != document.end() && !known->is_null())
-            config.known = net::ListUpdate::parse(known->dump());
+            config.known = net::MembershipUpdate::parse(known->dump());
         config.settings = parseSettings(document.at("settings").dump());
         config.text = text;
         // Between sockets the list is always asked for: where the settings say that it is pushed, nobody
--- a/src/config.hpp
+++ b/src/config.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "net/list.hpp"
+#include "net/membership_watcher.hpp"
 #include "net/socket.hpp"
 #include "settings/settings.hpp"
 
@@ -17,7 +17,7 @@
     net::Address discovery;
     std::optional<net::Address> console;  // where operators call; none: nowhere
     std::size_t sockets = 0;              // descriptors that the process may hold; 0: not told
-    net::ListUpdate known;
+    net::MembershipUpdate known;
     NodeSettings settings;
     bool listPushed = false;  // as the settings say; between sockets the module asks all the same
     std::string text;         // of the file, as it was read
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -99,7 +99,7 @@
     handle(SettingsChanged{settings_.settings});
 }
 
-void Facade::start(const std::vector<ListedHost>& known) {
+void Facade::start(const std::vector<MemberEntry>& known) {
     handle(Started{});
     handle(change(ListKind::Cached, known));
 }
@@ -185,7 +185,7 @@
     handle(Probed{host, outcome, waited, load});
 }
 
-void Facade::listed(bool full, const std::vector<ListedHost>& changes) {
+void Facade::listed(bool full, const std::vector<MemberEntry>& changes) {
     if (full) {
         for (auto& [host, listing] : listings_) {
             listing.availability = Availability::Gone;
@@ -275,7 +275,7 @@
     return any ? std::optional(report) : std::nullopt;
 }
 
-HostEntry Facade::entry(const ListedHost& host) {
+HostEntry Facade::entry(const MemberEntry& host) {
     HostEntry result;
     result.id = hostIdOf(host.name);
     // Those that the settings do not name are told apart too: hosts of two zones drop no repeats of each
@@ -291,9 +291,9 @@
     return result;
 }
 
-ListChanged Facade::change(ListKind kind, const std::vector<ListedHost>& hosts) {
+ListChanged Facade::change(ListKind kind, const std::vector<MemberEntry>& hosts) {
     ListChanged event{kind, {}};
-    for (const ListedHost& host : hosts) {
+    for (const MemberEntry& host : hosts) {
         event.hosts.push_back(entry(host));
     }
     return event;
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -47,7 +47,7 @@
 };
 
 // An entry of the list, with the names of the outside.
-struct ListedHost {
+struct MemberEntry {
     std::string name;
     std::string zone;
     std::string kind;
@@ -131,7 +131,7 @@
 
     Facade(NodeSettings settings, Surroundings& surroundings, const Factory& factory = makeRules);
 
-    void start(const std::vector<ListedHost>& known);
+    void start(const std::vector<MemberEntry>& known);
     // New settings hold at once, all together; what is under way keeps the rules of its class.
     void change(NodeSettings settings);
     // Runs the timers that are due; returns when the next one is.
@@ -156,7 +156,7 @@
     void hostTells(Ticket& ticket, double figure);  // of a connection's load, or of how long messages take
     void messageTook(Ticket& ticket, Micros delay);
     void probed(HostId host, Outcome outcome, Micros waited, const std::optional<LoadReport>& load);
-    void listed(bool full, const std::vector<ListedHost>& changes);
+    void listed(bool full, const std::vector<MemberEntry>& changes);
     void listFailed();
 
     // Operators leave a host out, or use it again; false for one that was never listed.
@@ -195,8 +195,8 @@
     Ticket* find(RequestId request);
     void hold(Ticket& ticket);
     void release(Ticket& ticket);
-    ListChanged change(ListKind kind, const std::vector<ListedHost>& hosts);
-    HostEntry entry(const ListedHost& host);
+    ListChanged change(ListKind kind, const std::vector<MemberEntry>& hosts);
+    HostEntry entry(const MemberEntry& host);
 
     NodeSettings settings_;                       // names keep their places for good
     std::set<std::string, std::less<>> offered_;  // classes that the settings name now
--- a/src/handover/estate.hpp
+++ b/src/handover/estate.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "facade/facade.hpp"
-#include "net/list.hpp"
+#include "net/membership_watcher.hpp"
 
 namespace ivyreel {
 
@@ -15,7 +15,7 @@
 
 struct Estate {
     std::string console;  // where operators call the old one; empty: nowhere
-    net::ListUpdate list;
+    net::MembershipUpdate list;
     Inheritance learned;
     std::vector<std::uint64_t> ids;  // of requests that are open or were lately
 
--- /dev/null
+++ b/src/net/membership_update.cpp
@@ -0,0 +1,71 @@
+#include "net/membership_update.hpp"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "json_value.hpp"
+
+namespace ivyreel::net {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Availability availability(const std::string& state) {
+    if (state == "active") return Availability::Ready;
+    if (state == "leaving") return Availability::Draining;
+    if (state == "left") return Availability::Gone;
+    throw std::runtime_error("unknown state \"" + state + "\" in the list");
+}
+
+}  // namespace
+
+const char* stateName(Availability availability) {
+    return availability == Availability::Ready      ? "active"
+           : availability == Availability::Draining ? "leaving"
+                                                    : "left";
+}
+
+MembershipUpdate MembershipUpdate::parse(std::string_view json) {
+    const Json document = Json::parse(json);
+    MembershipUpdate update;
+    update.version = document.at("version").get<std::uint64_t>();
+    update.full = valueOr(document, "full", false);
+    for (const Json& server : document.at("servers")) {
+        MemberEntry host;
+        host.name = server.at("id").get<std::string>();
+        host.availability = availability(valueOr(server, "state", std::string("active")));
+        host.zone = valueOr(server, "zone", std::string());
+        host.kind = valueOr(server, "kind", std::string());
+        host.cell = valueOr(server, "cell", 0U);
+        host.weight = valueOr(server, "weight", 1.0);
+        host.started = std::chrono::milliseconds(valueOr(server, "started_ms", std::int64_t{0}));
+        const auto address = Address::parse(valueOr(server, "addr", std::string()));
+        if (!address && host.availability != Availability::Gone)
+            throw std::runtime_error("bad address of " + host.name + " in the list");
+        update.hosts.push_back(std::move(host));
+        update.addresses.push_back(address.value_or(Address{}));
+    }
+    return update;
+}
+
+std::string MembershipUpdate::text() const {
+    Json servers = Json::array();
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        const MemberEntry& host = hosts[i];
+        const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(host.started);
+        servers.push_back({{"id", host.name},
+                           {"addr", addresses[i].text()},
+                           {"zone", host.zone},
+                           {"kind", host.kind},
+                           {"cell", host.cell},
+                           {"state", stateName(host.availability)},
+                           {"weight", host.weight},
+                           {"started_ms", started.count()}});
+    }
+    return Json{{"version", version}, {"full", full}, {"servers", std::move(servers)}}.dump();
+}
+
+}  // namespace ivyreel::net
--- a/src/net/list.hpp
+++ b/src/net/membership_watcher.hpp
@@ -13,58 +13,37 @@
 #include "facade/facade.hpp"
 #include "net/counters.hpp"
 #include "net/hosts.hpp"
+#include "net/json_object_scanner.hpp"
+#include "net/membership_update.hpp"
 #include "net/scheduler.hpp"
 #include "net/socket.hpp"
 #include "random.hpp"
 
 namespace ivyreel::net {
 
-// One object of the list: the whole of it, or what has changed.
-struct ListUpdate {
-    std::uint64_t version = 0;
-    bool full = false;
-    std::vector<ListedHost> hosts;
-    std::vector<Address> addresses;  // of the hosts, in the same order
-
-    static ListUpdate parse(std::string_view json);  // throws std::runtime_error
-    std::string text() const;                        // in the same form
-};
-
-// The first whole JSON object of a text that grows at its end and may be spread over lines.
-class FirstObject {
-  public:
-    // Where it ends; none yet if it is not whole. The text begins with it, and with what it held at the last
-    // call. After that the next one is looked for.
-    std::optional<std::size_t> end(std::string_view text);
-
-  private:
-    std::size_t read_ = 0;
-    std::size_t depth_ = 0;
-    bool quoted_ = false;
-    bool escaped_ = false;
-};
-
-class List {
+class MembershipWatcher {
   public:
-    List(Scheduler& scheduler, Facade& facade, Hosts& hosts, Counters& counters, const Address& discovery);
+    MembershipWatcher(Scheduler& scheduler, Facade& facade, Hosts& hosts, Counters& counters,
+                      const Address& discovery,
+                      std::uint64_t seed);  // of its own for each process: they must not call in step
 
     // What was known before the start.
-    void know(const ListUpdate& known);
+    void restore(const MembershipUpdate& known);
     // The whole list as it is known now.
-    ListUpdate known() const;
+    MembershipUpdate snapshot() const;
     // Whether the watch has brought something since it began.
     bool live() const { return live_; }
     // Whether nothing more need be waited for: it is live, or the first call has failed.
-    bool settled() const { return live_ || failed_; }
+    bool firstCallEnded() const { return live_ || failed_; }
     // Where the list is pushed, what the sender has counts as told whether it is watched or not: then it is
     // watched again within this time. None: it is asked for.
-    void pushedWithin(std::optional<Micros> grace) { grace_ = grace; }
+    void setPushGrace(std::optional<Micros> grace) { grace_ = grace; }
     // Follows the changes from now on; asked again, begins anew unless the watch is sound.
-    void watch();
+    void start();
     // Follows the changes at this address from now on, at once and from the last version.
     void moveTo(const Address& discovery);
     // Runs as long as the node.
-    Task<void> follow();
+    Task<void> run();
 
   private:
     // Why a watch ended, and how much that tells of the next call.
@@ -73,11 +52,11 @@
         std::string why;
         Kind kind = Kind::Failed;
     };
-    Task<End> followOnce();
+    Task<End> callOnce();
     Time againAfter(const End& end) const;
     Micros backoff();
     bool take(std::string& body);
-    void took();
+    void markLive();
 
     Scheduler& scheduler_;
     Facade& facade_;
@@ -85,16 +64,16 @@
     Counters& counters_;
     Address discovery_;
     Signal signal_;
-    SplitMix64 random_;  // of each process its own: they must not call in step
+    SplitMix64 random_;
     bool wanted_ = false;
     bool moved_ = false;   // the address is another one since the last call
     bool live_ = false;    // lines come
     bool failed_ = false;  // a call has
     Time liveSince_{0};
-    FirstObject object_;  // the one that is on its way
+    JsonObjectScanner object_;  // the one that is on its way
     std::optional<Micros> grace_;
     std::uint64_t version_ = 0;
-    std::map<std::string, std::pair<ListedHost, Address>> entries_;  // by name
+    std::map<std::string, std::pair<MemberEntry, Address>> entries_;  // by name
 };
 
 }  // namespace ivyreel::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -12,6 +12,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "random.hpp"
+
 namespace ivyreel {
 
 namespace {
@@ -34,6 +36,11 @@
     return followed;
 }
 
+// Differs between processes that start together.
+std::uint64_t processSeed(Time now) {
+    return mix(static_cast<std::uint64_t>(::getpid())) ^ static_cast<std::uint64_t>(now.count());
+}
+
 }  // namespace
 
 void holdSignals() {
@@ -54,15 +61,15 @@
       facade_(config_.settings, *this),
       hosts_(facade_, counters_),
       probes_(scheduler_, facade_, hosts_, counters_),
-      list_(scheduler_, facade_, hosts_, counters_, config_.discovery),
+      watcher_(scheduler_, facade_, hosts_, counters_, config_.discovery, processSeed(scheduler_.now())),
       clients_(scheduler_, facade_, hosts_, probes_, counters_, config_.listen,
                heritage ? heritage->takeListener(0) : -1, leftForClients()),
       handover_(scheduler_, *this, rendezvous),
       signals_(scheduler_),
       signalSocket_(signals_, openSignals()) {
     limitDescriptors();
-    const net::ListUpdate& known = estate_ ? estate_->list : config_.known;
-    list_.know(known);
+    const net::MembershipUpdate& known = estate_ ? estate_->list : config_.known;
+    watcher_.restore(known);
     listSettings();
     facade_.start(known.hosts);
     if (estate_) {
@@ -70,7 +77,7 @@
         clients_.keepIds(estate_->ids);
     }
     clients_.takeNew(false);
-    scheduler_.spawn(list_.follow());
+    scheduler_.spawn(watcher_.run());
     scheduler_.spawn(clients_.accept());
     scheduler_.spawn(followSignals());
     if (config_.console) {
@@ -93,7 +100,7 @@
 
 void Node::listSettings() {
     const Micros grace = config_.settings.settings.rules.drainGrace;
-    list_.pushedWithin(config_.listPushed ? std::optional(grace) : std::nullopt);
+    watcher_.setPushGrace(config_.listPushed ? std::optional(grace) : std::nullopt);
 }
 
 std::optional<Estate> Node::read(const std::optional<net::Heritage>& heritage) {
@@ -135,7 +142,7 @@
 net::Task<void> Node::awaitList(Micros within) {
     net::Signal pause{scheduler_};
     const Time until = scheduler_.now() + within;
-    while (!list_.settled() && scheduler_.now() < until) {
+    while (!watcher_.firstCallEnded() && scheduler_.now() < until) {
         co_await pause.wait(scheduler_.now() + kListPoll);
     }
 }
@@ -172,7 +179,7 @@
 std::string Node::estate() const {
     Estate estate;
     if (console_) estate.console = console_->address().text();
-    estate.list = list_.known();
+    estate.list = watcher_.snapshot();
     estate.learned = facade_.inheritance();
     estate.ids = clients_.ids();
     return estate.text();
@@ -251,7 +258,7 @@
         config_ = std::move(next);
         facade_.change(config_.settings);
         listSettings();
-        list_.moveTo(config_.discovery);
+        watcher_.moveTo(config_.discovery);
         limitDescriptors();
         ++counters_.confLoaded;
         spdlog::info("configuration read again: discovery at {}, {} descriptors", config_.discovery.text(),
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -15,7 +15,7 @@
 #include "net/counters.hpp"
 #include "net/handover.hpp"
 #include "net/hosts.hpp"
-#include "net/list.hpp"
+#include "net/membership_watcher.hpp"
 #include "net/probes.hpp"
 #include "net/scheduler.hpp"
 #include "net/socket.hpp"
@@ -37,7 +37,7 @@
     // For the facade.
     Time now() const override { return scheduler_.now(); }
     void probe(HostId host) override { probes_.probe(host); }
-    void watchList() override { list_.watch(); }
+    void watchList() override { watcher_.start(); }
 
     // For operators.
     bool ready() const override { return ready_; }
@@ -76,7 +76,7 @@
     Facade facade_;
     net::Hosts hosts_;
     net::Probes probes_;
-    net::List list_;
+    net::MembershipWatcher watcher_;
     net::Clients clients_;
     std::optional<net::Console> console_;
     net::Handover handover_;
--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -53,7 +53,7 @@
     void watchList() override {}
 
     void list(Availability availability) {
-        facade.listed(true, {ListedHost{"s-1", "", "", 0, 1.0, availability, 0s}});
+        facade.listed(true, {MemberEntry{"s-1", "", "", 0, 1.0, availability, 0s}});
         hosts.setAddress(hostIdOf("s-1"), listener.local());
     }
 
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -266,7 +266,7 @@
     settings.kindNames = {"m1", "m2"};
     settings.settings.groupsShareWork = true;
     Fixture f{settings};
-    f.facade.start({ListedHost{"s-1", "b", "m2", 3, 2.0, Availability::Ready, 5s}});
+    f.facade.start({MemberEntry{"s-1", "b", "m2", 3, 2.0, Availability::Ready, 5s}});
     const ListChanged cached = f.last<ListChanged>();
     EXPECT_EQ(cached.kind, ListKind::Cached);
     EXPECT_EQ(cached.hosts.at(0).id, hostIdOf("s-1"));
@@ -275,19 +275,19 @@
     EXPECT_EQ(cached.hosts.at(0).launched, Time{5s});
     EXPECT_TRUE(f.facade.accepts(hostIdOf("s-1")));
 
-    f.facade.listed(false, {ListedHost{"s-1", "b", "m2", 3, 2.0, Availability::Draining, 5s}});
+    f.facade.listed(false, {MemberEntry{"s-1", "b", "m2", 3, 2.0, Availability::Draining, 5s}});
     EXPECT_EQ(f.last<ListChanged>().kind, ListKind::Delta);
     EXPECT_FALSE(f.facade.accepts(hostIdOf("s-1")));
-    f.facade.listed(true, {ListedHost{"s-2", "a", "m1", 0, 1.0, Availability::Ready, 0s}});
+    f.facade.listed(true, {MemberEntry{"s-2", "a", "m1", 0, 1.0, Availability::Ready, 0s}});
     EXPECT_EQ(f.last<ListChanged>().kind, ListKind::Full);
     EXPECT_TRUE(f.facade.accepts(hostIdOf("s-2")));
     EXPECT_FALSE(f.facade.accepts(hostIdOf("s-1")));
-    f.facade.listed(false, {ListedHost{"s-2", "a", "m1", 0, 1.0, Availability::Gone, 0s}});
+    f.facade.listed(false, {MemberEntry{"s-2", "a", "m1", 0, 1.0, Availability::Gone, 0s}});
     EXPECT_FALSE(f.facade.accepts(hostIdOf("s-2")));
 
-    f.facade.listed(false, {ListedHost{"s-3", "c", "m1", 0, 1.0, Availability::Ready, 0s},
-                            ListedHost{"s-4", "d", "m1", 0, 1.0, Availability::Ready, 0s},
-                            ListedHost{"s-5", "c", "m1", 0, 1.0, Availability::Ready, 0s}});
+    f.facade.listed(false, {MemberEntry{"s-3", "c", "m1", 0, 1.0, Availability::Ready, 0s},
+                            MemberEntry{"s-4", "d", "m1", 0, 1.0, Availability::Ready, 0s},
+                            MemberEntry{"s-5", "c", "m1", 0, 1.0, Availability::Ready, 0s}});
     const ListChanged further = f.last<ListChanged>();
     EXPECT_EQ(further.hosts.at(0).zone, further.hosts.at(2).zone);
     EXPECT_NE(further.hosts.at(0).zone, further.hosts.at(1).zone)
@@ -309,7 +309,7 @@
 
 TEST(Facade, KeepsABanThroughTheListAndRefusesOneOfAHostNeverListed) {
     Fixture f;
-    const ListedHost host{"s-1", "", "", 0, 1.0, Availability::Ready, 0s};
+    const MemberEntry host{"s-1", "", "", 0, 1.0, Availability::Ready, 0s};
     EXPECT_FALSE(f.facade.exclude(hostIdOf("s-1"), true));
     EXPECT_TRUE(f.seen.empty());
     f.facade.start({host});
@@ -322,7 +322,7 @@
     EXPECT_EQ(f.facade.hostsListed(), 0U);
     f.facade.listed(true, {host});
     EXPECT_FALSE(f.facade.accepts(hostIdOf("s-1"))) << "listed anew";
-    f.facade.listed(false, {ListedHost{"s-1", "", "", 0, 1.0, Availability::Gone, 0s}});
+    f.facade.listed(false, {MemberEntry{"s-1", "", "", 0, 1.0, Availability::Gone, 0s}});
     EXPECT_TRUE(f.facade.exclude(hostIdOf("s-1"), false)) << "known, though it has left the list";
     EXPECT_FALSE(f.last<HostBanned>().banned);
     f.facade.listed(false, {host});
@@ -354,7 +354,7 @@
     EXPECT_EQ(now.zone, ZoneIndex{1}) << "y, as before";
     EXPECT_TRUE(f.facade.knowsClass("dddd"));
     EXPECT_FALSE(f.facade.knowsClass("bb"));
-    f.facade.listed(true, {ListedHost{"s-1", "z", "", 0, 1.0, Availability::Ready, 0s}});
+    f.facade.listed(true, {MemberEntry{"s-1", "z", "", 0, 1.0, Availability::Ready, 0s}});
     EXPECT_EQ(f.last<ListChanged>().hosts[0].zone, ZoneIndex{2});
     f.facade.change(named({"bb"}, {"x", "y"}, 1));
     EXPECT_TRUE(f.facade.knowsClass("bb"));
--- a/tests/list_test.cpp
+++ b/tests/membership_watcher_test.cpp
@@ -1,5 +1,5 @@
 // The watch on the list from inside: real sockets and scheduler, a module that only keeps what it hears.
-#include "net/list.hpp"
+#include "net/membership_watcher.hpp"
 
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -74,7 +74,7 @@
     Facade facade{NodeSettings{}, *this, [this](Settings) { return std::make_unique<HearingRules>(heard); }};
     Hosts hosts{facade, counters};
     Bound discovery;
-    List list{scheduler, facade, hosts, counters, discovery.address()};
+    MembershipWatcher watcher{scheduler, facade, hosts, counters, discovery.address(), 7};
     Signal listening{scheduler};
     Socket listener;
 
@@ -87,7 +87,7 @@
     // Discovery takes calls, and one is wanted.
     void watchSound() {
         listener = discovery.listen(listening);
-        list.watch();
+        watcher.start();
     }
 
     // One call at discovery, read to its empty line.
@@ -136,7 +136,7 @@
     // Plays a script beside the list that is followed, to its end or for 20 s, which only a hang reaches.
     bool played(const std::function<Task<void>(Fixture&)>& script) {
         bool ended = false;
-        scheduler.spawn(list.follow());
+        scheduler.spawn(watcher.run());
         scheduler.spawn(
             [](Fixture& f, const std::function<Task<void>(Fixture&)>& play, bool& end) -> Task<void> {
                 co_await play(f);
@@ -165,10 +165,10 @@
   ]
 })";
 
-TEST(FirstObject, IsFoundInPiecesOfAnySizeWhateverItsTextsHold) {
+TEST(JsonObjectScanner, IsFoundInPiecesOfAnySizeWhateverItsTextsHold) {
     const std::string whole(kIndented);
     for (std::size_t step = 1; step < whole.size(); ++step) {
-        FirstObject first;
+        JsonObjectScanner first;
         std::string text;
         std::optional<std::size_t> end;
         for (std::size_t at = 0; at < whole.size(); at += step) {
@@ -179,12 +179,12 @@
         ASSERT_TRUE(end);
         EXPECT_EQ(*end, whole.size());
     }
-    EXPECT_EQ(FirstObject{}.end("{}\n{}"), 2U);
-    EXPECT_EQ(FirstObject{}.end(R"({"a":"\\"}{)"), 10U);
+    EXPECT_EQ(JsonObjectScanner{}.end("{}\n{}"), 2U);
+    EXPECT_EQ(JsonObjectScanner{}.end(R"({"a":"\\"}{)"), 10U);
 }
 
 // Lists may come indented: one object on many lines, and pieces that end anywhere.
-TEST(List, ReadsAnIndentedListInPieces) {
+TEST(MembershipWatcher, ReadsAnIndentedListInPieces) {
     Fixture f;
     f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
@@ -197,13 +197,13 @@
         co_await g.until([&g] { return g.counters.listChanges == 2 || g.counters.listFailures > 0; });
     }));
     EXPECT_EQ(f.counters.listFailures, 0U);
-    ASSERT_EQ(f.list.known().hosts.size(), 1U);
-    EXPECT_EQ(f.list.known().hosts[0].name, R"(s-{1}"[)");
-    EXPECT_EQ(f.list.known().version, 10U);
+    ASSERT_EQ(f.watcher.snapshot().hosts.size(), 1U);
+    EXPECT_EQ(f.watcher.snapshot().hosts[0].name, R"(s-{1}"[)");
+    EXPECT_EQ(f.watcher.snapshot().version, 10U);
 }
 
 // What it misses counts as told soon after: the module's back-off would take from the time that is left.
-TEST(List, AWatchThatFallsSilentIsBegunAnewWithoutTheModulesBackOff) {
+TEST(MembershipWatcher, AWatchThatFallsSilentIsBegunAnewWithoutTheModulesBackOff) {
     Fixture f;
     f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
@@ -213,16 +213,16 @@
         EXPECT_EQ(g.heard.failures, 0) << "the module, and its back-off, had no part in it";
         EXPECT_EQ(g.counters.listFailures, 1U);
         anew->beginEmpty();
-        co_await g.until([&g] { return g.list.live(); });
+        co_await g.until([&g] { return g.watcher.live(); });
     }));
 }
 
 // A refused call, one that is reset and one that is never answered: each is made again without anybody's
 // asking (the module here never does), so that the list is had in the time that two calls and two pauses
 // take.
-TEST(List, ACallThatFailsInAnyWayIsMadeAgainByItself) {
+TEST(MembershipWatcher, ACallThatFailsInAnyWayIsMadeAgainByItself) {
     Fixture f;
-    f.list.watch();
+    f.watcher.start();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         co_await g.until([&g] { return g.counters.listFailures >= 1; });  // nobody listens there yet
         g.listener = g.discovery.listen(g.listening);
@@ -231,37 +231,37 @@
         const auto silent = co_await g.next();
         const auto answered = co_await g.next();
         answered->beginEmpty();
-        co_await g.until([&g] { return g.list.live(); });
+        co_await g.until([&g] { return g.watcher.live(); });
     }));
     EXPECT_GE(f.counters.listFailures, 4U);
 }
 
-TEST(List, ACallThatFailsAfterDiscoveryMovedIsMadeAgainAtTheNewAddress) {
+TEST(MembershipWatcher, ACallThatFailsAfterDiscoveryMovedIsMadeAgainAtTheNewAddress) {
     Fixture f;
     Bound elsewhere;
     f.watchSound();
     EXPECT_TRUE(f.played([&elsewhere](Fixture& g) -> Task<void> {
         const auto first = co_await g.next();
         first->beginEmpty();
-        co_await g.until([&g] { return g.list.live(); });
-        g.list.moveTo(elsewhere.address());
+        co_await g.until([&g] { return g.watcher.live(); });
+        g.watcher.moveTo(elsewhere.address());
         co_await g.until([&g] { return g.counters.listFailures >= 1; });  // nobody listens there yet
         g.listener = elsewhere.listen(g.listening);
         const auto moved = co_await g.next();
         moved->beginEmpty();
-        co_await g.until([&g] { return g.list.live(); });
+        co_await g.until([&g] { return g.watcher.live(); });
     }));
 }
 
-TEST(List, AWatchThatEndsAtOnceIsLeftToTheModulesBackOff) {
+TEST(MembershipWatcher, AWatchThatEndsAtOnceIsLeftToTheModulesBackOff) {
     Fixture f;
-    f.list.pushedWithin(100ms);
+    f.watcher.setPushGrace(100ms);
     f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         {
             const auto brief = co_await g.next();
             brief->beginEmpty();
-            co_await g.until([&g] { return g.list.live(); });
+            co_await g.until([&g] { return g.watcher.live(); });
         }
         co_await g.until([&g] { return g.heard.failures == 1; });
         EXPECT_EQ(g.counters.listFailures, 1U) << "no call in between";
@@ -269,38 +269,38 @@
 }
 
 // A call waits its turn at discovery; one that is made again waits anew.
-TEST(List, ACallThatWaitsItsTurnIsNotMadeAgain) {
+TEST(MembershipWatcher, ACallThatWaitsItsTurnIsNotMadeAgain) {
     Fixture f;
     f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         const auto call = co_await g.next();
-        g.list.watch();
+        g.watcher.start();
         co_await g.until([&g, turns = 0]() mutable { return ++turns > 4; });
         call->beginEmpty();
-        co_await g.until([&g] { return g.list.live() || g.counters.listFailures > 0; });
+        co_await g.until([&g] { return g.watcher.live() || g.counters.listFailures > 0; });
         EXPECT_EQ(g.counters.listFailures, 0U);
     }));
 }
 
 // Where the list is pushed, what its sender gets when it is back counts at once; nobody else would ask in
 // time.
-TEST(List, WhereItIsPushedItIsWatchedAgainAsSoonAsItsSenderIsBack) {
+TEST(MembershipWatcher, WhereItIsPushedItIsWatchedAgainAsSoonAsItsSenderIsBack) {
     Fixture f;
-    f.list.pushedWithin(100ms);
-    f.list.watch();
+    f.watcher.setPushGrace(100ms);
+    f.watcher.start();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         co_await g.until([&g] { return g.counters.listFailures >= 3; });
         g.listener = g.discovery.listen(g.listening);
         const auto call = co_await g.next();
         call->beginEmpty();
-        co_await g.until([&g] { return g.list.live(); });
+        co_await g.until([&g] { return g.watcher.live(); });
     }));
     EXPECT_EQ(f.heard.failures, 0);
 }
 
-TEST(List, WhereItIsPushedAWatchThatBreaksIsBegunAnewAtOnce) {
+TEST(MembershipWatcher, WhereItIsPushedAWatchThatBreaksIsBegunAnewAtOnce) {
     Fixture f;
-    f.list.pushedWithin(100ms);
+    f.watcher.setPushGrace(100ms);
     f.watchSound();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         {
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -9,7 +9,7 @@
 #include "net/buffer.hpp"
 #include "net/http.hpp"
 #include "net/line.hpp"
-#include "net/list.hpp"
+#include "net/membership_watcher.hpp"
 
 namespace ivyreel::net {
 namespace {
@@ -175,8 +175,8 @@
     EXPECT_THROW(bodyOf("HTTP/1.1 200 OK\r\nX: " + std::string(5000, 'x'), 500), HttpError);
 }
 
-TEST(List, ReadsAnUpdate) {
-    const ListUpdate update = ListUpdate::parse(
+TEST(MembershipUpdate, ReadsAnUpdate) {
+    const MembershipUpdate update = MembershipUpdate::parse(
         R"({"version":43,"full":false,"servers":[
             {"id":"s-1","addr":"127.0.0.9:8080","zone":"a","kind":"m2","cell":3,"state":"leaving",
              "weight":1.5,"started_ms":1700},
@@ -193,8 +193,8 @@
 }
 
 // Some write every key, with null for what there is not.
-TEST(List, TakesNullForAbsent) {
-    const ListUpdate update = ListUpdate::parse(
+TEST(MembershipUpdate, TakesNullForAbsent) {
+    const MembershipUpdate update = MembershipUpdate::parse(
         R"({"version":7,"full":null,"servers":[{"id":"s","addr":"127.0.0.1:1","zone":null,"kind":null,"cell":null,
             "state":null,"weight":null,"started_ms":null},{"id":"t","addr":null,"state":"left"}]})");
     ASSERT_EQ(update.hosts.size(), 2U);
@@ -205,12 +205,12 @@
     EXPECT_EQ(update.hosts[1].availability, Availability::Gone);
 }
 
-TEST(List, RejectsWhatItCannotRead) {
-    EXPECT_ANY_THROW(ListUpdate::parse("nonsense"));
-    EXPECT_ANY_THROW(ListUpdate::parse(R"({"servers":[]})"));
-    EXPECT_ANY_THROW(ListUpdate::parse(R"({"version":1,"servers":[{"id":"s","addr":"nowhere"}]})"));
-    EXPECT_ANY_THROW(
-        ListUpdate::parse(R"({"version":1,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"odd"}]})"));
+TEST(MembershipUpdate, RejectsWhatItCannotRead) {
+    EXPECT_ANY_THROW(MembershipUpdate::parse("nonsense"));
+    EXPECT_ANY_THROW(MembershipUpdate::parse(R"({"servers":[]})"));
+    EXPECT_ANY_THROW(MembershipUpdate::parse(R"({"version":1,"servers":[{"id":"s","addr":"nowhere"}]})"));
+    EXPECT_ANY_THROW(MembershipUpdate::parse(
+        R"({"version":1,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"odd"}]})"));
 }
 
 TEST(Address, IsReadWholeOrNotAtAll) {
