Calls at discovery back off under load, and an accepted call keeps its place

So no node got its list while all called; confirmed. Ruled out: connections (up within 2 ms), the module's own back-off.

Change: CallPolicy (no I/O) decides. An error status or a break in the queue: exponential back-off with full jitter from 0.5 s, 2.5 s at most, so that a pause and the longest wait fit into 6 s. A call is kept; another one starts beside it only when it has waited longer than any answer took (3 s until one took longer). A refused connection and a connection that never comes up are no load and are retried within 0.6 and 0.3 s. After SIGHUP and a lost sound watch callers are spread.

--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -98,6 +98,11 @@
         {"probe_connections", probeConnections},
         {"list_changes", listChanges},
         {"list_failures", listFailures},
+        {"list_calls", listCalls},
+        {"list_additional_calls", listAdditionalCalls},
+        {"list_refused", listRefused},
+        {"list_given_up", listGivenUp},
+        {"list_stale_ms", listStaleMs},
     };
     std::string result;
     for (const auto& [name, value] : all) {
--- /dev/null
+++ b/src/net/membership_call.cpp
@@ -0,0 +1,122 @@
+#include "net/membership_call.hpp"
+
+#include <cctype>
+#include <exception>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+namespace ivyreel::net {
+
+namespace {
+
+constexpr std::size_t kLongestMessage = 16UL * 1024 * 1024;
+constexpr int kHttpOk = 200;
+
+std::string requestFor(const Address& discovery, std::uint64_t since) {
+    return "GET /catalog/members?follow=1&since=" + std::to_string(since) +
+           " HTTP/1.1\r\nHost: " + discovery.text() + "\r\n\r\n";
+}
+
+bool isSpace(char c) {
+    return std::isspace(static_cast<unsigned char>(c)) != 0;
+}
+
+}  // namespace
+
+MembershipCall::MembershipCall(Signal& signal, const Address& discovery, std::uint64_t since)
+    : begunAt_(signal.scheduler().now()), request_(requestFor(discovery, since)) {
+    connect(signal, discovery);
+}
+
+void MembershipCall::connect(Signal& signal, const Address& discovery) {
+    try {
+        connection_ = Connection{Socket::connectTo(signal, discovery)};
+    } catch (const std::exception& error) {
+        fail(CallFailure::Unreachable, error.what());
+    }
+}
+
+bool MembershipCall::advance() {
+    if (state_ == State::Connecting) checkConnection();
+    if (state_ == State::Connecting || state_ == State::Failed) return false;
+    return exchange();
+}
+
+void MembershipCall::checkConnection() {
+    switch (connection_.socket.connecting()) {
+        case Socket::Connecting::Pending:
+            return;
+        case Socket::Connecting::Failed:
+            fail(CallFailure::Unreachable, "discovery cannot be reached");
+            return;
+        case Socket::Connecting::Done:
+            state_ = State::Waiting;
+            return;
+    }
+}
+
+bool MembershipCall::exchange() {
+    connection_.send(request_, sent_);
+    const bool received = connection_.fill();
+    try {
+        readAnswer();
+    } catch (const std::exception& error) {
+        fail(CallFailure::BadAnswer, error.what());
+    }
+    if (state_ != State::Failed) checkEnd(received);
+    return received;
+}
+
+void MembershipCall::readAnswer() {
+    answer_.take(connection_.in, body_);
+    if (answer_.started() && answer_.status() != kHttpOk) {
+        fail(CallFailure::Overloaded, "discovery answers " + std::to_string(answer_.status()));
+        return;
+    }
+    readBody();
+    if (body_.size() > kLongestMessage) throw std::runtime_error("discovery sends a message without end");
+}
+
+// What was received together with the end is read first.
+void MembershipCall::checkEnd(bool received) {
+    const bool watching = state_ == State::Answered;
+    const CallFailure kind = watching ? CallFailure::WatchEnded : CallFailure::Overloaded;
+    const std::string what = watching ? "the watch" : "the call";
+    if (answer_.complete()) {
+        fail(kind, "discovery ended " + what);
+    } else if (connection_.over() && !received) {
+        fail(kind, what + " broke");
+    }
+}
+
+// Takes the whole objects of the body, and the empty lines between them, which are heartbeats.
+void MembershipCall::readBody() {
+    std::size_t begin = 0;
+    for (;;) {
+        for (; begin < body_.size() && isSpace(body_[begin]); ++begin) {
+            if (body_[begin] == '\n') messages_.emplace_back(std::nullopt);
+        }
+        const std::string_view rest = std::string_view(body_).substr(begin);
+        if (rest.empty()) break;
+        if (rest.front() != '{') throw std::runtime_error("what discovery sends is no list");
+        const std::optional<std::size_t> end = scanner_.end(rest);
+        if (!end) break;
+        messages_.emplace_back(MembershipUpdate::parse(rest.substr(0, *end)));
+        begin += *end;
+    }
+    body_.erase(0, begin);
+    if (!messages_.empty()) state_ = State::Answered;
+}
+
+std::vector<WatchMessage> MembershipCall::takeMessages() {
+    return std::exchange(messages_, {});
+}
+
+void MembershipCall::fail(CallFailure kind, std::string reason) {
+    state_ = State::Failed;
+    failure_ = {kind, std::move(reason)};
+    connection_ = Connection{};
+}
+
+}  // namespace ivyreel::net
--- a/src/net/membership_watcher.cpp
+++ b/src/net/membership_watcher.cpp
@@ -3,31 +3,24 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cctype>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
-#include <exception>
-#include <stdexcept>
 #include <utility>
 
-#include "net/http.hpp"
-
 namespace ivyreel::net {
 
 namespace {
 
 using namespace std::chrono_literals;
 
-// What discovery has counts as told 6 s after it could be reached, whatever failed: a pause, a call that is
-// never answered, another pause and the next call fit into that.
-constexpr Micros kAnswerWithin = 2600ms;
-constexpr Micros kMostBackoff = 300ms;
-static_assert(2 * (kMostBackoff + kAnswerWithin) < 6s);
-constexpr Micros kSilence =
-    2300ms;                    // a line comes every 2 s; the new call has the rest of the 6 s for its turn
-constexpr Micros kLived = 1s;  // a watch that ended sooner is none to be begun anew at once
-constexpr Micros kLeastRetry = 10ms;
-constexpr std::size_t kLongestBody = 16UL * 1024 * 1024;
+// A heartbeat comes every 2 s; the next call has the rest of the time after which a change counts as known.
+constexpr Micros kHeartbeatTimeout = 2300ms;
+constexpr std::size_t kMostCalls = 3;  // at once
+
+double inSeconds(Micros span) {
+    return std::chrono::duration<double>(span).count();
+}
 
 }  // namespace
 
@@ -38,8 +31,10 @@
       hosts_(hosts),
       counters_(counters),
       discovery_(discovery),
-      signal_(scheduler),
-      random_(seed) {}
+      policy_(seed),
+      signal_(scheduler) {
+    freshness_.since = scheduler.now();
+}
 
 void MembershipWatcher::restore(const MembershipUpdate& known) {
     version_ = known.version;
@@ -68,14 +63,14 @@
     whole.version = version_;
     whole.full = true;
     for (const auto& [name, entry] : entries_) {
-        whole.hosts.push_back(entry.first);
-        whole.addresses.push_back(entry.second);
+        whole.hosts.push_back(entry.member);
+        whole.addresses.push_back(entry.address);
     }
     return whole;
 }
 
 void MembershipWatcher::start() {
-    wanted_ = true;
+    started_ = true;
     signal_.raise();
 }
 
@@ -87,122 +82,196 @@
 }
 
 Task<void> MembershipWatcher::run() {
-    Time again = kNever;
+    while (!started_ && !moved_) {
+        co_await signal_.wait();
+    }
+    moved_ = false;
     for (;;) {
-        while (!wanted_ && !moved_ && scheduler_.now() < again) {
-            co_await signal_.wait(again);
+        const std::unique_ptr<MembershipCall> watch = co_await openWatch();
+        if (watch) co_await holdWatch(*watch);
+        co_await pauseBeforeNextCall();
+    }
+}
+
+Task<void> MembershipWatcher::pauseBeforeNextCall() {
+    for (;;) {
+        if (std::exchange(moved_, false)) nextCallAt_ = scheduler_.now() + policy_.pauseAfterMove();
+        if (scheduler_.now() >= nextCallAt_) co_return;
+        co_await signal_.wait(nextCallAt_);
+    }
+}
+
+// One call is out as long as its answer is likely to come. Another one is started beside it, and the first
+// answer taken, when it has waited for so long that it may be lost: its place in the queue is kept meanwhile.
+Task<std::unique_ptr<MembershipCall>> MembershipWatcher::openWatch() {
+    Calls calls;
+    addCall(calls);
+    for (;;) {
+        for (const auto& call : calls) {
+            if (call->advance()) signal_.raise();
+        }
+        std::unique_ptr<MembershipCall> answered = takeAnswered(calls);
+        if (answered) {
+            giveUp(calls, "another one was answered");
+            co_return answered;
+        }
+        dropFailed(calls);
+        dropOverdue(calls);
+        if (moved_) giveUp(calls, "the address was changed");
+        if (calls.empty() || moved_) co_return nullptr;
+        if (scheduler_.now() >= additionalCallAt_ && calls.size() < kMostCalls) {
+            addCall(calls);
+            continue;
         }
-        wanted_ = moved_ = false;
-        const End end = co_await callOnce();
-        again = againAfter(end);
-        live_ = false;
-        if (moved_) continue;  // no failure: the new address is asked at once
-        failed_ = true;
-        ++counters_.listFailures;
-        spdlog::warn("the list: {}", end.why);
-        if (again != kNever) continue;
-        facade_.listFailed();
-        again = scheduler_.now() + backoff();
+        co_await signal_.wait(nextCheck(calls));
     }
 }
 
-// Back-off is short and jittered: all nodes call again when discovery is back, and it takes them in turn.
-Micros MembershipWatcher::backoff() {
-    const Micros most = grace_ ? std::clamp(*grace_ / 2, kLeastRetry, kMostBackoff) : kMostBackoff;
-    return most / 2 +
-           Micros{static_cast<Micros::rep>(static_cast<double>(most.count()) / 2 * random_.next())};
+void MembershipWatcher::addCall(Calls& calls) {
+    ++counters_.listCalls;
+    if (!calls.empty()) ++counters_.listAdditionalCalls;
+    calls.push_back(std::make_unique<MembershipCall>(signal_, discovery_, version_));
+    additionalCallAt_ = scheduler_.now() + policy_.additionalCallAfter();
+}
+
+std::unique_ptr<MembershipCall> MembershipWatcher::takeAnswered(Calls& calls) {
+    const auto at = std::find_if(calls.begin(), calls.end(), [](const auto& call) {
+        return call->state() == MembershipCall::State::Answered || call->hasMessages();
+    });
+    if (at == calls.end()) return nullptr;
+    std::unique_ptr<MembershipCall> answered = std::move(*at);
+    calls.erase(at);
+    policy_.answered(scheduler_.now() - answered->begunAt());
+    return answered;
+}
+
+void MembershipWatcher::dropFailed(Calls& calls) {
+    const MembershipCall* const newest = calls.back().get();
+    const auto failed = [&](const std::unique_ptr<MembershipCall>& call) {
+        if (call->state() != MembershipCall::State::Failed) return false;
+        callFailed(*call, call->failure());
+        if (call.get() == newest) additionalCallAt_ = nextCallAt_;
+        return true;
+    };
+    std::erase_if(calls, failed);
 }
 
-// What a silent watch misses counts as told a while later, and at once where the list is pushed: such a one
-// is begun anew without back-off. Of a pushed list that nobody sends now the beginning must not be missed.
-// kNever: a call has failed, and the next one backs off.
-Time MembershipWatcher::againAfter(const End& end) const {
+// A connection that does not come up tells that the path is silent: then nothing that was sent on it before
+// is answered either.
+void MembershipWatcher::dropOverdue(Calls& calls) {
     const Time now = scheduler_.now();
-    const bool lived = live_ && now - liveSince_ >= kLived;
-    if (lived && (end.kind == End::Kind::Silent || (grace_ && end.kind == End::Kind::Broken))) return now;
-    if (grace_ && end.kind == End::Kind::Unreachable) return now + std::max(*grace_ / 2, kLeastRetry);
-    return kNever;
-}
-
-Task<MembershipWatcher::End> MembershipWatcher::callOnce() {
-    live_ = false;
-    object_ = {};
-    Connection connection;
-    try {
-        connection = Connection{Socket::connectTo(signal_, discovery_)};
-    } catch (const std::exception& error) {
-        co_return End{error.what(), End::Kind::Unreachable};
+    const auto connectOverdue = [&](const std::unique_ptr<MembershipCall>& call) {
+        return call->state() == MembershipCall::State::Connecting &&
+               now >= call->begunAt() + policy_.connectLimit();
+    };
+    if (std::any_of(calls.begin(), calls.end(), connectOverdue)) {
+        callFailed(*calls.back(),
+                   {CallFailure::ConnectTimeout, "the connection to discovery does not come up"});
+        counters_.listGivenUp += calls.size();
+        calls.clear();
+        return;
     }
-    const std::string question = "GET /catalog/members?follow=1&since=" + std::to_string(version_) +
-                                 " HTTP/1.1\r\nHost: " + discovery_.text() + "\r\n\r\n";
-    std::size_t sent = 0;
-    HttpAnswer answer;
-    std::string body;
-    Time deadAt = scheduler_.now() + kAnswerWithin;
+    const auto answerOverdue = [&](const std::unique_ptr<MembershipCall>& call) {
+        if (now < call->begunAt() + policy_.keepUnansweredFor()) return false;
+        callFailed(*call, {CallFailure::Unanswered, "discovery does not answer"});
+        return true;
+    };
+    std::erase_if(calls, answerOverdue);
+}
+
+void MembershipWatcher::giveUp(Calls& calls, std::string_view why) {
+    for (const auto& call : calls) {
+        countFailure(CallFailure::Unanswered);
+        spdlog::warn("the list: a call is given up unanswered after {:.2f} s: {}",
+                     inSeconds(scheduler_.now() - call->begunAt()), why);
+    }
+    calls.clear();
+}
+
+Time MembershipWatcher::nextCheck(const Calls& calls) const {
+    Time next = calls.size() < kMostCalls ? additionalCallAt_ : kNever;
+    for (const auto& call : calls) {
+        const bool connecting = call->state() == MembershipCall::State::Connecting;
+        const Micros limit = connecting ? policy_.connectLimit() : policy_.keepUnansweredFor();
+        next = std::min(next, call->begunAt() + limit);
+    }
+    return next;
+}
+
+void MembershipWatcher::callFailed(const MembershipCall& call, const MembershipCall::Failure& failure) {
+    ended({failure.kind, scheduler_.now() - call.begunAt(), Micros{0}}, failure.reason);
+}
+
+// The messages that came together with the end of the watch are applied before it.
+Task<void> MembershipWatcher::holdWatch(MembershipCall& watch) {
+    const Time openedAt = scheduler_.now();
+    const Micros waited = openedAt - watch.begunAt();
     for (;;) {
-        const Socket::Connecting state = connection.socket.connecting();
-        if (state == Socket::Connecting::Failed && sent == 0)
-            co_return End{"discovery cannot be reached", End::Kind::Unreachable};
-        if (state == Socket::Connecting::Done || sent > 0) {
-            connection.send(question, sent);
-            bool came = connection.fill();
-            try {
-                answer.take(connection.in, body);
-                if (answer.started() && answer.status() != 200)
-                    co_return End{"discovery answers " + std::to_string(answer.status())};
-                if (take(body)) deadAt = scheduler_.now() + kSilence;
-            } catch (const std::exception& error) {
-                co_return End{error.what()};
-            }
-            if (body.size() > kLongestBody) co_return End{"discovery sends a line without end"};
-            if (answer.complete()) co_return End{"discovery ended the watch", End::Kind::Broken};
-            if (connection.over() && !came) co_return End{"the watch broke", End::Kind::Broken};
-            if (came) {
-                signal_.raise();
-            }
+        apply(watch.takeMessages());
+        if (watch.state() == MembershipCall::State::Failed) {
+            const auto& [kind, reason] = watch.failure();
+            ended({kind, waited, scheduler_.now() - openedAt}, reason);
+            co_return;
         }
-        if (scheduler_.now() >= deadAt) {
-            if (!live_) co_return End{"discovery does not answer"};
-            co_return End{"the watch fell silent", End::Kind::Silent};
+        const Time silentAt = lastMessageAt_ + kHeartbeatTimeout;
+        if (scheduler_.now() >= silentAt) {
+            ended({CallFailure::WatchSilent, waited, scheduler_.now() - openedAt}, "the watch fell silent");
+            co_return;
         }
-        co_await signal_.wait(deadAt);
-        if (moved_) co_return End{"discovery is elsewhere"};
-        // It is followed already, or asked for: a call that waits its turn would wait anew if it were made
-        // again.
-        wanted_ = false;
+        co_await signal_.wait(silentAt);
+        if (moved_) {
+            setFreshness(ListFreshness::State::CatchingUp, scheduler_.now());
+            co_return;
+        }
+        if (watch.advance()) signal_.raise();
     }
 }
 
-// Takes the whole objects of the body, and the empty lines between them; true if there were any.
-bool MembershipWatcher::take(std::string& body) {
-    std::size_t begin = 0;
-    bool any = false;
-    for (;;) {
-        for (; begin < body.size() && std::isspace(static_cast<unsigned char>(body[begin])) != 0; ++begin) {
-            if (body[begin] != '\n') continue;
-            any = true;
-            if (!live_) facade_.listed(false, {});
-            markLive();
+void MembershipWatcher::ended(const CallEnd& end, const std::string& reason) {
+    const Retry retry = policy_.retryAfter(end);
+    const Time now = scheduler_.now();
+    firstCallEnded_ = true;
+    countFailure(end.failure);
+    spdlog::warn("the list: {} after {:.2f} s, next call in {:.2f} s", reason,
+                 inSeconds(end.watchAge > Micros{0} ? end.watchAge : end.waited), inSeconds(retry.pause));
+    nextCallAt_ = now + retry.pause;
+    const bool watchLost = live();
+    setFreshness(watchLost ? ListFreshness::State::CatchingUp : ListFreshness::State::Stale,
+                 watchLost ? now : freshness_.since);
+    if (retry.reportFailure) facade_.listFailed();
+}
+
+void MembershipWatcher::countFailure(CallFailure failure) {
+    ++counters_.listFailures;
+    if (failure == CallFailure::Overloaded) ++counters_.listRefused;
+    if (failure == CallFailure::Unanswered || failure == CallFailure::ConnectTimeout) ++counters_.listGivenUp;
+}
+
+void MembershipWatcher::apply(std::vector<WatchMessage> messages) {
+    for (const WatchMessage& message : messages) {
+        lastMessageAt_ = scheduler_.now();
+        if (message) {
+            ++counters_.listChanges;
+            restore(*message);
+            facade_.listed(message->full, message->hosts);
+        } else if (!live()) {
+            facade_.listed(false, {});
         }
-        const std::string_view rest = std::string_view(body).substr(begin);
-        if (rest.empty()) break;
-        if (rest.front() != '{') throw std::runtime_error("what discovery sends is no list");
-        const auto end = object_.end(rest);
-        if (!end) break;
-        MembershipUpdate update = MembershipUpdate::parse(rest.substr(0, *end));
-        begin += *end;
-        any = true;
-        markLive();
-        ++counters_.listChanges;
-        restore(update);
-        facade_.listed(update.full, update.hosts);
+        if (!live()) becomeLive();
     }
-    body.erase(0, begin);
-    return any;
 }
 
-void MembershipWatcher::markLive() {
-    if (!std::exchange(live_, true)) liveSince_ = scheduler_.now();
+void MembershipWatcher::becomeLive() {
+    const Micros without = scheduler_.now() - freshness_.since;
+    counters_.listStaleMs +=
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(without).count());
+    firstCallEnded_ = true;
+    spdlog::info("the list is live after {:.2f} s without a watch, version {}", inSeconds(without), version_);
+    setFreshness(ListFreshness::State::Live, scheduler_.now());
+}
+
+void MembershipWatcher::setFreshness(ListFreshness::State state, Time since) {
+    freshness_ = {state, since};
 }
 
 }  // namespace ivyreel::net
--- a/src/net/membership_watcher.hpp
+++ b/src/net/membership_watcher.hpp
@@ -1,79 +1,98 @@
-// Discovery: the list of hosts and the watch on its changes.
+// Keeps a node's list of servers up to date: calls discovery, holds the watch that the call opens, and passes
+// each change on. When to call, and how long to wait, is decided by CallPolicy.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "facade/facade.hpp"
+#include "membership/call_policy.hpp"
+#include "membership/freshness.hpp"
 #include "net/counters.hpp"
 #include "net/hosts.hpp"
-#include "net/json_object_scanner.hpp"
+#include "net/membership_call.hpp"
 #include "net/membership_update.hpp"
 #include "net/scheduler.hpp"
 #include "net/socket.hpp"
-#include "random.hpp"
 
 namespace ivyreel::net {
 
 class MembershipWatcher {
   public:
+    // `seed` differs from process to process, so that nodes do not call in step.
     MembershipWatcher(Scheduler& scheduler, Facade& facade, Hosts& hosts, Counters& counters,
-                      const Address& discovery,
-                      std::uint64_t seed);  // of its own for each process: they must not call in step
+                      const Address& discovery, std::uint64_t seed);
 
-    // What was known before the start.
+    // Takes over a list that was known before the start.
     void restore(const MembershipUpdate& known);
     // The whole list as it is known now.
     MembershipUpdate snapshot() const;
-    // Whether the watch has brought something since it began.
-    bool live() const { return live_; }
-    // Whether nothing more need be waited for: it is live, or the first call has failed.
-    bool firstCallEnded() const { return live_ || failed_; }
-    // Where the list is pushed, what the sender has counts as told whether it is watched or not: then it is
-    // watched again within this time. None: it is asked for.
-    void setPushGrace(std::optional<Micros> grace) { grace_ = grace; }
-    // Follows the changes from now on; asked again, begins anew unless the watch is sound.
+    // How far the list can be trusted.
+    ListFreshness freshness() const { return freshness_; }
+    bool live() const { return freshness_.live(); }
+    // Whether a first call was answered or has failed.
+    bool firstCallEnded() const { return firstCallEnded_; }
+    // The settings that decide how calls are made: the number of nodes that follow the list and, where the
+    // list is pushed, the time within which a change counts as known.
+    void setFleetSize(std::uint32_t nodes) { policy_.setFleetSize(nodes); }
+    void setPushGrace(std::optional<Micros> grace) { policy_.setPushGrace(grace); }
+    // Begins to call. From then on the watcher decides by itself when to call again, so that a further call
+    // of this function changes nothing.
     void start();
-    // Follows the changes at this address from now on, at once and from the last version.
+    // Follows the list at another address from now on, from the version that is known.
     void moveTo(const Address& discovery);
     // Runs as long as the node.
     Task<void> run();
 
   private:
-    // Why a watch ended, and how much that tells of the next call.
-    struct End {
-        enum class Kind { Failed, Unreachable, Broken, Silent };
-        std::string why;
-        Kind kind = Kind::Failed;
-    };
-    Task<End> callOnce();
-    Time againAfter(const End& end) const;
-    Micros backoff();
-    bool take(std::string& body);
-    void markLive();
+    using Calls = std::vector<std::unique_ptr<MembershipCall>>;  // the oldest first
+
+    // Ends once a call was answered, with that call; none: all have failed, or the address was changed.
+    Task<std::unique_ptr<MembershipCall>> openWatch();
+    // Ends with the watch, or when the address was changed.
+    Task<void> holdWatch(MembershipCall& watch);
+    // A change of the address meanwhile begins a pause of its own.
+    Task<void> pauseBeforeNextCall();
+
+    void addCall(Calls& calls);
+    std::unique_ptr<MembershipCall> takeAnswered(Calls& calls);
+    void dropFailed(Calls& calls);
+    void dropOverdue(Calls& calls);
+    void giveUp(Calls& calls, std::string_view why);
+    Time nextCheck(const Calls& calls) const;
+    void callFailed(const MembershipCall& call, const MembershipCall::Failure& failure);
+    void ended(const CallEnd& end, const std::string& reason);
+    void countFailure(CallFailure failure);
+
+    void apply(std::vector<WatchMessage> messages);
+    void becomeLive();
+    void setFreshness(ListFreshness::State state, Time since);
 
     Scheduler& scheduler_;
     Facade& facade_;
     Hosts& hosts_;
     Counters& counters_;
     Address discovery_;
+    CallPolicy policy_;
     Signal signal_;
-    SplitMix64 random_;
-    bool wanted_ = false;
-    bool moved_ = false;   // the address is another one since the last call
-    bool live_ = false;    // lines come
-    bool failed_ = false;  // a call has
-    Time liveSince_{0};
-    JsonObjectScanner object_;  // the one that is on its way
-    std::optional<Micros> grace_;
+    bool started_ = false;
+    bool moved_ = false;  // the address is another one since the last call
+    bool firstCallEnded_ = false;
+    ListFreshness freshness_;
+    Time lastMessageAt_{0};
+    Time nextCallAt_{0};
+    Time additionalCallAt_ = kNever;
     std::uint64_t version_ = 0;
-    std::map<std::string, std::pair<MemberEntry, Address>> entries_;  // by name
+    struct Entry {
+        MemberEntry member;
+        Address address;
+    };
+    std::map<std::string, Entry> entries_;  // by name
 };
 
 }  // namespace ivyreel::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -100,6 +100,7 @@
 
 void Node::listSettings() {
     const Micros grace = config_.settings.settings.rules.drainGrace;
+    watcher_.setFleetSize(config_.settings.settings.nodes);
     watcher_.setPushGrace(config_.listPushed ? std::optional(grace) : std::nullopt);
 }
 
