The state of the list in the log line of the counters; an address change is no failure

list_state, list_age_ms and list_stale_ms beside the counters list_calls, list_additional_calls, list_refused and list_given_up.

--- a/src/membership/freshness.hpp
+++ b/src/membership/freshness.hpp
@@ -14,6 +14,10 @@
     State state = State::CatchingUp;
     Time since{0};  // when the last watch ended; if there was none, when the process started
 
+    // For logs.
+    static constexpr const char* name(State state) {
+        return state == State::Live ? "live" : state == State::CatchingUp ? "catching_up" : "stale";
+    }
     bool live() const { return state == State::Live; }
 };
 
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -102,7 +102,6 @@
         {"list_additional_calls", listAdditionalCalls},
         {"list_refused", listRefused},
         {"list_given_up", listGivenUp},
-        {"list_stale_ms", listStaleMs},
     };
     std::string result;
     for (const auto& [name, value] : all) {
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -69,7 +69,6 @@
     std::uint64_t listAdditionalCalls = 0;  //   of these, beside one that was not answered
     std::uint64_t listRefused = 0;          //   turned away, or their connection broke before an answer
     std::uint64_t listGivenUp = 0;          //   closed by this node without an answer
-    std::uint64_t listStaleMs = 0;          // time without an open watch that has ended, milliseconds
 
     void count(Outcome attempt);  // one that ended before it was up
     std::string text() const;
--- a/src/net/membership_watcher.cpp
+++ b/src/net/membership_watcher.cpp
@@ -117,7 +117,6 @@
         }
         dropFailed(calls);
         dropOverdue(calls);
-        if (moved_) giveUp(calls, "the address was changed");
         if (calls.empty() || moved_) co_return nullptr;
         if (scheduler_.now() >= additionalCallAt_ && calls.size() < kMostCalls) {
             addCall(calls);
@@ -167,8 +166,8 @@
     if (std::any_of(calls.begin(), calls.end(), connectOverdue)) {
         callFailed(*calls.back(),
                    {CallFailure::ConnectTimeout, "the connection to discovery does not come up"});
-        counters_.listGivenUp += calls.size();
-        calls.clear();
+        calls.pop_back();
+        giveUp(calls, "the path is silent");
         return;
     }
     const auto answerOverdue = [&](const std::unique_ptr<MembershipCall>& call) {
@@ -263,13 +262,19 @@
 
 void MembershipWatcher::becomeLive() {
     const Micros without = scheduler_.now() - freshness_.since;
-    counters_.listStaleMs +=
-        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(without).count());
+    withoutWatch_ += without;
     firstCallEnded_ = true;
     spdlog::info("the list is live after {:.2f} s without a watch, version {}", inSeconds(without), version_);
     setFreshness(ListFreshness::State::Live, scheduler_.now());
 }
 
+ListStatus MembershipWatcher::status() const {
+    const Time now = scheduler_.now();
+    const Micros age = lastMessageAt_ == Time{0} ? now - freshness_.since : now - lastMessageAt_;
+    const Micros withoutNow = live() ? Micros{0} : now - freshness_.since;
+    return {freshness_.state, age, withoutWatch_ + withoutNow};
+}
+
 void MembershipWatcher::setFreshness(ListFreshness::State state, Time since) {
     freshness_ = {state, since};
 }
--- a/src/net/membership_watcher.hpp
+++ b/src/net/membership_watcher.hpp
@@ -22,6 +22,13 @@
 
 namespace ivyreel::net {
 
+// What operators are told of the list.
+struct ListStatus {
+    ListFreshness::State state = ListFreshness::State::CatchingUp;
+    Micros age{0};           // since discovery was last heard from; since the start, if it never was
+    Micros withoutWatch{0};  // in all since the start
+};
+
 class MembershipWatcher {
   public:
     // `seed` differs from process to process, so that nodes do not call in step.
@@ -35,6 +42,7 @@
     // How far the list can be trusted.
     ListFreshness freshness() const { return freshness_; }
     bool live() const { return freshness_.live(); }
+    ListStatus status() const;
     // Whether a first call was answered or has failed.
     bool firstCallEnded() const { return firstCallEnded_; }
     // The settings that decide how calls are made: the number of nodes that follow the list and, where the
@@ -84,6 +92,7 @@
     bool moved_ = false;  // the address is another one since the last call
     bool firstCallEnded_ = false;
     ListFreshness freshness_;
+    Micros withoutWatch_{0};
     Time lastMessageAt_{0};
     Time nextCallAt_{0};
     Time additionalCallAt_ = kNever;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -36,6 +36,10 @@
     return followed;
 }
 
+std::int64_t inMillis(Micros span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 // Differs between processes that start together.
 std::uint64_t processSeed(Time now) {
     return mix(static_cast<std::uint64_t>(::getpid())) ^ static_cast<std::uint64_t>(now.count());
@@ -228,11 +232,18 @@
     return ::signalfd(-1, &followed, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
+std::string Node::countersText() const {
+    const net::ListStatus list = watcher_.status();
+    return counters_.text() + " list_state=" + ListFreshness::name(list.state) +
+           " list_age_ms=" + std::to_string(inMillis(list.age)) +
+           " list_stale_ms=" + std::to_string(inMillis(list.withoutWatch));
+}
+
 net::Task<void> Node::followSignals() {
     for (;;) {
         signalfd_siginfo info{};
         while (::read(signalSocket_.descriptor(), &info, sizeof info) == sizeof info) {
-            spdlog::info("counters: {}", counters_.text());
+            spdlog::info("counters: {}", countersText());
             if (info.ssi_signo == SIGHUP) {
                 reload();
                 handover_.tellReload();
@@ -283,7 +294,7 @@
 // After SIGTERM a drained node waits for its end; one that is interrupted by hand ends by itself.
 net::Task<void> Node::stop(bool exit) {
     co_await clients_.drain(handover_, [this, exit] {
-        spdlog::info("drained; counters: {}", counters_.text());
+        spdlog::info("drained; counters: {}", countersText());
         if (exit) scheduler_.stop();
     });
 }
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -64,6 +64,7 @@
     net::Task<void> awaitList(Micros within);
     net::Task<void> begin();
     net::Task<void> takeOver(int link);
+    std::string countersText() const;
     net::Task<void> followSignals();
     void reload();
     void stopFor(bool interrupted);
