Servers that show a drain while the list is stale get nothing new

Cause: while the watch at discovery is lost, a node learned of a drain only from the list. It went on sending new connections to servers that had already sent MOVE or BUSY.

The facade feeds it and tells the decision module the sum of it and operators' bans as HostBanned; src/rules.cpp is unchanged. Only operators' bans are handed over. Until Facade::setListFreshness is called the list counts as live, so that nothing changes: no caller is part of this commit.

--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -102,6 +102,7 @@
 void Facade::start(const std::vector<MemberEntry>& known) {
     handle(Started{});
     handle(change(ListKind::Cached, known));
+    observeList(true, known);
 }
 
 Time Facade::tick() {
@@ -111,7 +112,9 @@
         timers_.erase(timers_.begin());
         handle(TimerDue{token});
     }
-    return timers_.empty() ? Time::max() : timers_.begin()->first;
+    withhold(drainEvidence_.expire(now));
+    const Time nextTimer = timers_.empty() ? Time::max() : timers_.begin()->first;
+    return std::min(nextTimer, drainEvidence_.nextExpiry());
 }
 
 std::optional<Verdict> Facade::pick(Ticket& ticket) {
@@ -122,6 +125,8 @@
     const std::optional<Verdict> verdict = std::exchange(ticket.verdict_, std::nullopt);
     if (const auto* go = verdict ? std::get_if<Go>(&*verdict) : nullptr) {
         ticket.host_ = go->host;
+        ticket.attemptBegan_ = surroundings_.now();
+        ticket.attemptTimeout_ = go->timeout;
         ++ticket.attempts_;
     }
     return verdict;
@@ -148,10 +153,17 @@
 void Facade::established(Ticket& ticket, Micros waited) {
     handle(Established{ticket.arrival_.request, AttemptIndex{static_cast<std::uint8_t>(ticket.attempts_ - 1)},
                        ticket.host_, waited});
+    observe(ServerAcceptedConnection{ticket.host_, ticket.attemptBegan_});
 }
 
 void Facade::attemptEnded(Ticket& ticket, Outcome outcome, Micros waited,
                           const std::optional<LoadReport>& load) {
+    // Before the module decides anew: it is not to draw a host that has just shown that it drains.
+    if (outcome == Outcome::Full) {
+        observe(ServerRefusedConnection{ticket.host_, load, waited, ticket.attemptTimeout_});
+    } else {
+        observeLoad(ticket.host_, load);
+    }
     handle(AttemptEnded{ticket.arrival_.request,
                         AttemptIndex{static_cast<std::uint8_t>(ticket.attempts_ - 1)}, ticket.host_, outcome,
                         waited, false, load});
@@ -159,6 +171,7 @@
 
 void Facade::connectionEnded(Ticket& ticket, Outcome outcome, const std::optional<LoadReport>& load) {
     if (!ticket.held_) return;
+    observeLoad(ticket.host_, load);
     handle(AttemptEnded{ticket.arrival_.request,
                         AttemptIndex{static_cast<std::uint8_t>(ticket.attempts_ - 1)}, ticket.host_, outcome,
                         Micros{0}, true, load});
@@ -182,6 +195,7 @@
 }
 
 void Facade::probed(HostId host, Outcome outcome, Micros waited, const std::optional<LoadReport>& load) {
+    observeLoad(host, load);
     handle(Probed{host, outcome, waited, load});
 }
 
@@ -192,15 +206,25 @@
         }
     }
     handle(change(full ? ListKind::Full : ListKind::Delta, changes));
+    observeList(full, changes);
 }
 
 void Facade::listFailed() {
     handle(ListChanged{ListKind::Failed, {}});
 }
 
+void Facade::setListFreshness(const ListFreshness& freshness) {
+    observe(ListFreshnessChanged{freshness});
+}
+
+void Facade::hostMoved(HostId host) {
+    observe(ServerSentMove{host});
+}
+
 bool Facade::accepts(HostId host) const {
     const auto at = listings_.find(host);
-    return at != listings_.end() && at->second.availability == Availability::Ready && !at->second.banned;
+    if (at == listings_.end() || at->second.availability != Availability::Ready) return false;
+    return !at->second.banned && !drainEvidence_.withholds(host);
 }
 
 std::size_t Facade::hostsListed() const {
@@ -217,7 +241,18 @@
 
 void Facade::ban(HostId host, bool banned) {
     listings_[host].banned = banned;
-    handle(HostBanned{host, banned});
+    observe(OperatorBanChanged{host, banned});
+    tellBan(host);
+}
+
+// The module knows one ban of a host: by operators, or because of the host's own answers.
+void Facade::tellBan(HostId host) {
+    handle(HostBanned{host, bannedByOperator(host) || drainEvidence_.withholds(host)});
+}
+
+bool Facade::bannedByOperator(HostId host) const {
+    const auto at = listings_.find(host);
+    return at != listings_.end() && at->second.banned;
 }
 
 Inheritance Facade::inheritance() const {
@@ -291,6 +326,34 @@
     return result;
 }
 
+void Facade::observe(const DrainEvent& event) {
+    withhold(drainEvidence_.handle(surroundings_.now(), event));
+}
+
+void Facade::observeLoad(HostId host, const std::optional<LoadReport>& load) {
+    if (load) observe(ServerReportedLoad{host, *load});
+}
+
+// After the module has the list: a host that the list takes out is not drawn while its withholding ends.
+void Facade::observeList(bool whole, const std::vector<MemberEntry>& entries) {
+    ListEntriesReceived received{whole, {}};
+    for (const MemberEntry& entry : entries) {
+        received.servers.push_back({hostIdOf(entry.name), entry.availability, entry.started});
+    }
+    observe(received);
+}
+
+void Facade::withhold(const WithholdingChange& change) {
+    for (const HostId host : change.withheld) {
+        surroundings_.withholdingChanged(host, true);
+        tellBan(host);
+    }
+    for (const HostId host : change.released) {
+        surroundings_.withholdingChanged(host, false);
+        tellBan(host);
+    }
+}
+
 ListChanged Facade::change(ListKind kind, const std::vector<MemberEntry>& hosts) {
     ListChanged event{kind, {}};
     for (const MemberEntry& host : hosts) {
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -18,6 +18,8 @@
 #include <variant>
 #include <vector>
 
+#include "membership/drain_evidence.hpp"
+#include "membership/freshness.hpp"
 #include "rules.hpp"
 #include "settings/settings.hpp"
 
@@ -81,6 +83,8 @@
     virtual Time now() const = 0;  // Unix time, never going back
     virtual void probe(HostId host) = 0;
     virtual void watchList() = 0;
+    // A host is withheld from new connections because of its own answers, or no longer is.
+    virtual void withholdingChanged(HostId /*host*/, bool /*withheld*/) {}
 };
 
 // What a node has learned, in a form that another one can use.
@@ -88,7 +92,7 @@
     Knowledge knowledge;
     std::vector<std::string> classNames;  // in the order of the knowledge
     std::vector<HostId> listed;           // ever
-    std::vector<HostId> banned;
+    std::vector<HostId> banned;           // by operators; what hosts tell of themselves is not handed on
 };
 
 class Facade;
@@ -122,6 +126,8 @@
     bool move_ = false;
     int attempts_ = 0;
     HostId host_{};
+    Time attemptBegan_{0};      // when the present attempt was picked
+    Micros attemptTimeout_{0};  // and the time that it was given
     std::optional<Verdict> verdict_;
 };
 
@@ -134,14 +140,14 @@
     void start(const std::vector<MemberEntry>& known);
     // New settings hold at once, all together; what is under way keeps the rules of its class.
     void change(NodeSettings settings);
-    // Runs the timers that are due; returns when the next one is.
+    // Runs the timers that are due and drops evidence that has expired; returns when the next one is.
     Time tick();
 
     // A host, a refusal with its advice, or a failure; none while the module holds the request. The listener
     // is told when there is one.
     std::optional<Verdict> pick(Ticket& ticket);
-    // Whether what was picked still holds: the list, a ban, a restart of the host or the time may speak
-    // against it by now. To be asked before the first byte goes out.
+    // Whether what was picked still holds: the list, a ban, the host's own answers, a restart of the host or
+    // the time may speak against it by now. To be asked before the first byte goes out.
     bool holds(const Ticket& ticket, HostId host) const;
 
     // Ends a request that is not up yet, from outside the module: the next pick is a failure, and an attempt
@@ -158,6 +164,12 @@
     void probed(HostId host, Outcome outcome, Micros waited, const std::optional<LoadReport>& load);
     void listed(bool full, const std::vector<MemberEntry>& changes);
     void listFailed();
+    // How far the list can be trusted; live until the first call. When the list becomes live, the entries of
+    // the watch's first message are to be reported by listed() first: then a host that drains by the list is
+    // not drawn in between.
+    void setListFreshness(const ListFreshness& freshness);
+    // The host ended a client's connection with MOVE. Not for one that this node sent.
+    void hostMoved(HostId host);
 
     // Operators leave a host out, or use it again; false for one that was never listed.
     bool exclude(HostId host, bool excluded);
@@ -168,7 +180,8 @@
     Inheritance inheritance() const;
     void inherit(Inheritance left);
 
-    // Whether neither the list nor a ban speaks against new connections at the host.
+    // Whether neither the list, a ban nor the host's own answers while the list is stale speak against new
+    // connections at the host.
     bool accepts(HostId host) const;
     std::size_t hostsListed() const;
     std::size_t hostsAvoided() const { return rules_->avoided(); }
@@ -195,6 +208,12 @@
     Ticket* find(RequestId request);
     void hold(Ticket& ticket);
     void release(Ticket& ticket);
+    void observe(const DrainEvent& event);
+    void observeLoad(HostId host, const std::optional<LoadReport>& load);
+    void observeList(bool whole, const std::vector<MemberEntry>& entries);
+    void withhold(const WithholdingChange& change);
+    void tellBan(HostId host);
+    bool bannedByOperator(HostId host) const;
     ListChanged change(ListKind kind, const std::vector<MemberEntry>& hosts);
     HostEntry entry(const MemberEntry& host);
 
@@ -207,9 +226,10 @@
     std::multimap<Time, TimerToken> timers_;
     struct Listing {
         Availability availability = Availability::Gone;
-        bool banned = false;
+        bool banned = false;  // by operators
     };
     std::map<HostId, Listing> listings_;  // of every host that was ever listed
+    DrainEvidence drainEvidence_;
 };
 
 }  // namespace ivyreel
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -98,6 +98,8 @@
         {"probe_connections", probeConnections},
         {"list_changes", listChanges},
         {"list_failures", listFailures},
+        {"withheld", withheld},
+        {"withheld_cleared", withheldCleared},
     };
     std::string result;
     for (const auto& [name, value] : all) {
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -65,6 +65,8 @@
     std::uint64_t probeConnections = 0;
     std::uint64_t listChanges = 0;
     std::uint64_t listFailures = 0;
+    std::uint64_t withheld = 0;         // hosts withheld from new connections because of their own answers
+    std::uint64_t withheldCleared = 0;  // and no longer so
 
     void count(Outcome attempt);  // one that ended before it was up
     std::string text() const;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -235,6 +235,7 @@
         last_ = Last::Bye;
         load_ = Facade::readLoad(rest);
     } else if (word == "MOVE") {
+        if (last_ != Last::Move) facade_.hostMoved(ticket_.host());
         last_ = Last::Move;
     }
     if (state_.unanswered == kNever) return;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -160,6 +160,12 @@
     handover_.serve();
 }
 
+void Node::withholdingChanged(HostId host, bool withheld) {
+    ++(withheld ? counters_.withheld : counters_.withheldCleared);
+    spdlog::info("host {:016x} is {}", static_cast<std::uint64_t>(host),
+                 withheld ? "withheld from new connections: by its own answers it drains" : "used again");
+}
+
 // ---- operators ----
 
 std::string Node::figures() const {
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -38,6 +38,7 @@
     Time now() const override { return scheduler_.now(); }
     void probe(HostId host) override { probes_.probe(host); }
     void watchList() override { watcher_.start(); }
+    void withholdingChanged(HostId host, bool withheld) override;
 
     // For operators.
     bool ready() const override { return ready_; }
--- a/src/rules.hpp
+++ b/src/rules.hpp
@@ -223,7 +223,7 @@
     std::optional<LoadReport> report;
 };
 
-struct HostBanned {  // operators leave a host out, whatever the list says, or use it again
+struct HostBanned {  // a host is left out, whatever the list says, or used again
     HostId host{};
     bool banned = true;
 };
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -34,6 +36,8 @@
     Time clock{1'000'000};
     std::vector<HostId> probes;
     int watches = 0;
+    int withheld = 0;
+    int withheldCleared = 0;
     Facade facade;
 
     explicit Fixture(NodeSettings settings = {})
@@ -43,6 +47,7 @@
     Time now() const override { return clock; }
     void probe(HostId host) override { probes.push_back(host); }
     void watchList() override { ++watches; }
+    void withholdingChanged(HostId, bool on) override { ++(on ? withheld : withheldCleared); }
 
     template <class E>
     const E& last() const {
@@ -407,5 +412,246 @@
     EXPECT_FALSE(Facade::readLoad("x0=inf,util=nan,inflight=-inf")) << "no figures";
 }
 
+// ---- hosts that are withheld because of their own answers ----
+
+// Three ready hosts, of which the first drains, and a list that has gone stale. The module sends every
+// request to the first one.
+struct StaleList : Fixture {
+    const HostId drains = hostIdOf("s-1");
+    Owner owner;
+
+    StaleList() {
+        facade.start({ready("s-1"), ready("s-2"), ready("s-3")});
+        freshness(ListFreshness::State::Stale);
+        answer = [this](const Event& event) { return sendTo(event, drains); };
+    }
+
+    static MemberEntry ready(const std::string& name) {
+        return {name, "", "", 0, 1.0, Availability::Ready, 0s};
+    }
+
+    void freshness(ListFreshness::State state) { facade.setListFreshness({state, clock}); }
+
+    // What the module was told of a host last; none if it was told nothing.
+    std::optional<bool> toldBanned(HostId host) const {
+        std::optional<bool> told;
+        for (const Event& event : seen) {
+            const auto* ban = std::get_if<HostBanned>(&event);
+            if (ban != nullptr && ban->host == host) told = ban->banned;
+        }
+        return told;
+    }
+
+    // A new request's attempt at the host, answered BUSY.
+    void refused(const std::optional<LoadReport>& load) {
+        Ticket ticket{facade, owner, Asked{}};
+        ASSERT_TRUE(facade.pick(ticket));
+        facade.attemptEnded(ticket, Outcome::Full, 1ms, load);
+    }
+
+    static LoadReport load(double share) {
+        LoadReport report;
+        report.loadOverCapacity = share;
+        return report;
+    }
+};
+
+TEST(FacadeWithholding, AHostThatSentMoveIsBannedUntilTheListIsLive) {
+    StaleList f;
+    EXPECT_EQ(f.toldBanned(f.drains), std::nullopt);
+    f.facade.hostMoved(f.drains);
+    EXPECT_EQ(f.toldBanned(f.drains), true);
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+    EXPECT_TRUE(f.facade.accepts(hostIdOf("s-2")));
+    EXPECT_EQ(f.withheld, 1);
+    f.facade.hostMoved(f.drains);
+    EXPECT_EQ(f.withheld, 1) << "of the same host";
+    f.freshness(ListFreshness::State::Live);
+    EXPECT_EQ(f.toldBanned(f.drains), false);
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+    EXPECT_EQ(f.withheldCleared, 1);
+}
+
+TEST(FacadeWithholding, NothingIsWithheldWhileTheListIsLiveAsItIsAtTheStart) {
+    Fixture f;
+    f.facade.start({StaleList::ready("s-1"), StaleList::ready("s-2")});
+    f.facade.hostMoved(hostIdOf("s-1"));
+    EXPECT_TRUE(f.facade.accepts(hostIdOf("s-1")));
+    EXPECT_EQ(f.withheld, 0);
+}
+
+// The list's word comes first, so that the module does not draw a host that drains in between.
+TEST(FacadeWithholding, AHostThatTheListTakesOutIsReleasedAfterTheModuleHasTheList) {
+    StaleList f;
+    f.facade.hostMoved(f.drains);
+    f.facade.listed(false, {MemberEntry{"s-1", "", "", 0, 1.0, Availability::Draining, 0s}});
+    ASSERT_GE(f.seen.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<ListChanged>(f.seen[f.seen.size() - 2]));
+    EXPECT_FALSE(f.last<HostBanned>().banned);
+    EXPECT_FALSE(f.facade.accepts(f.drains)) << "it drains by the list";
+}
+
+TEST(FacadeWithholding, ANewerStartInTheListReleases) {
+    StaleList f;
+    f.facade.hostMoved(f.drains);
+    f.facade.listed(false, {MemberEntry{"s-1", "", "", 0, 1.0, Availability::Ready, 5s}});
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+}
+
+TEST(FacadeWithholding, AnUpReleasesOnlyIfItsAttemptBeganAfterTheEvidence) {
+    StaleList f;
+    Ticket early{f.facade, f.owner, Asked{}};
+    ASSERT_TRUE(f.facade.pick(early));
+    f.clock += 10ms;
+    f.facade.hostMoved(f.drains);
+    f.clock += 10ms;
+    f.facade.established(early, 20ms);
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+    Ticket late{f.facade, f.owner, Asked{}};
+    ASSERT_TRUE(f.facade.pick(late));
+    f.facade.established(late, 20ms);
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+    EXPECT_EQ(f.toldBanned(f.drains), false);
+}
+
+TEST(FacadeWithholding, AnAttemptThatWasPickedBeforeTheEvidenceNoLongerHolds) {
+    StaleList f;
+    Ticket ticket{f.facade, f.owner, Asked{}};
+    ASSERT_TRUE(f.facade.pick(ticket));
+    EXPECT_TRUE(f.facade.holds(ticket, f.drains));
+    f.facade.hostMoved(f.drains);
+    EXPECT_FALSE(f.facade.holds(ticket, f.drains));
+}
+
+TEST(FacadeWithholding, TwoRefusalsByAHostFarFromFullWithholdItBeforeTheModuleDecidesAnew) {
+    StaleList f;
+    f.facade.probed(f.drains, Outcome::Ok, 1ms, StaleList::load(0.3));
+    f.refused(std::nullopt);
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+    Ticket ticket{f.facade, f.owner, Asked{}};
+    ASSERT_TRUE(f.facade.pick(ticket));
+    f.facade.attemptEnded(ticket, Outcome::Full, 1ms, std::nullopt);
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+    EXPECT_TRUE(f.last<AttemptEnded>().host == f.drains);
+    EXPECT_TRUE(std::get<HostBanned>(f.seen[f.seen.size() - 2]).banned);
+}
+
+TEST(FacadeWithholding, TheLoadReportsOfEndedConnectionsTellTheUtilisationToo) {
+    StaleList f;
+    Ticket served{f.facade, f.owner, Asked{}};
+    f.facade.stands(served, f.drains);
+    f.facade.connectionEnded(served, Outcome::Ok, StaleList::load(0.3));
+    f.refused(std::nullopt);
+    f.refused(std::nullopt);
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+}
+
+TEST(FacadeWithholding, RefusalsByAFullHostDoNotWithhold) {
+    StaleList f;
+    f.facade.probed(f.drains, Outcome::Ok, 1ms, StaleList::load(0.3));
+    for (int i = 0; i < 4; ++i) {
+        f.refused(StaleList::load(0.95));
+    }
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+    EXPECT_EQ(f.withheld, 0);
+}
+
+TEST(FacadeWithholding, OtherFailuresDoNotWithhold) {
+    StaleList f;
+    f.facade.probed(f.drains, Outcome::Ok, 1ms, StaleList::load(0.3));
+    for (const Outcome outcome : {Outcome::Error, Outcome::Reset, Outcome::Timeout, Outcome::ConnectFailed}) {
+        Ticket ticket{f.facade, f.owner, Asked{}};
+        ASSERT_TRUE(f.facade.pick(ticket));
+        f.facade.attemptEnded(ticket, outcome, 1ms, std::nullopt);
+    }
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+}
+
+TEST(FacadeWithholding, ABanByOperatorsAndWithholdingDoNotLiftEachOther) {
+    StaleList f;
+    f.facade.hostMoved(f.drains);
+    f.facade.exclude(f.drains, true);
+    f.facade.exclude(f.drains, false);
+    EXPECT_EQ(f.toldBanned(f.drains), true) << "withheld still";
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+    f.facade.exclude(f.drains, true);
+    f.freshness(ListFreshness::State::Live);
+    EXPECT_EQ(f.toldBanned(f.drains), true) << "banned still";
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+    f.facade.exclude(f.drains, false);
+    EXPECT_EQ(f.toldBanned(f.drains), false);
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+}
+
+// The module must not hear of a release between the two: it would send what waits there at once.
+TEST(FacadeWithholding, TheModuleHearsOfNoReleaseWhileEitherStillHolds) {
+    StaleList f;
+    f.facade.hostMoved(f.drains);
+    f.facade.exclude(f.drains, true);
+    f.facade.exclude(f.drains, false);
+    for (const Event& event : f.seen) {
+        const auto* ban = std::get_if<HostBanned>(&event);
+        EXPECT_TRUE(ban == nullptr || ban->banned);
+    }
+}
+
+TEST(FacadeWithholding, IsNotHandedOverAsABan) {
+    StaleList f;
+    f.facade.hostMoved(f.drains);
+    f.facade.exclude(hostIdOf("s-2"), true);
+    EXPECT_EQ(f.facade.inheritance().banned, std::vector{hostIdOf("s-2")});
+}
+
+TEST(FacadeWithholding, EndsByTheClockThoughNothingElseHappens) {
+    StaleList f;
+    f.facade.hostMoved(f.drains);
+    EXPECT_EQ(f.facade.tick(), f.clock + kEvidenceLifetime);
+    f.clock += kEvidenceLifetime;
+    EXPECT_EQ(f.facade.tick(), Time::max());
+    EXPECT_EQ(f.toldBanned(f.drains), false);
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+}
+
+// With the decision module itself: what is drawn, not what is told.
+TEST(FacadeWithholding, TheDecisionModuleDrawsNoWithheldHost) {
+    struct Quiet final : Surroundings {
+        Time clock = 1000s;
+        Time now() const override { return clock; }
+        void probe(HostId) override {}
+        void watchList() override {}
+    };
+    Quiet surroundings;
+    NodeSettings settings;
+    settings.classNames = {"chat"};
+    settings.settings.classes.emplace_back();
+    settings.settings.limits.attempts = 3;
+    Facade facade{settings, surroundings};
+    const HostId drains = hostIdOf("s-1");
+    facade.start({StaleList::ready("s-1"), StaleList::ready("s-2")});
+    Owner owner;
+    const auto picksOfDraining = [&] {
+        int picks = 0;
+        for (int i = 0; i < 60; ++i) {
+            surroundings.clock += 50ms;
+            facade.tick();
+            Asked asked;
+            asked.cls = "chat";
+            asked.patience = 3s;
+            Ticket ticket{facade, owner, asked};
+            const auto verdict = facade.pick(ticket);
+            const auto* go = verdict ? std::get_if<Go>(&*verdict) : nullptr;
+            EXPECT_NE(go, nullptr);
+            if (go != nullptr && go->host == drains) ++picks;
+        }
+        return picks;
+    };
+    EXPECT_GT(picksOfDraining(), 0);
+    facade.setListFreshness({ListFreshness::State::Stale, surroundings.clock});
+    facade.hostMoved(drains);
+    EXPECT_EQ(picksOfDraining(), 0);
+    facade.setListFreshness({ListFreshness::State::Live, surroundings.clock});
+    EXPECT_GT(picksOfDraining(), 0);
+}
+
 }  // namespace
 }  // namespace ivyreel::test
