--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -595,6 +595,16 @@
     }
 }
 
+TEST(FacadeWithholding, LeavesTheLastHostThatOperatorsHaveNotBanned) {
+    StaleList f;
+    f.facade.exclude(hostIdOf("s-2"), true);
+    f.facade.exclude(hostIdOf("s-3"), true);
+    f.facade.hostMoved(f.drains);
+    EXPECT_TRUE(f.facade.accepts(f.drains));
+    f.facade.exclude(hostIdOf("s-2"), false);
+    EXPECT_FALSE(f.facade.accepts(f.drains));
+}
+
 TEST(FacadeWithholding, IsNotHandedOverAsABan) {
     StaleList f;
     f.facade.hostMoved(f.drains);
