The relay and the pair of connections have files of their own

Cause: src/net/hosts.cpp did two jobs, attempts at hosts and the relay of standing connections.

Change: Relay stands in src/net/relay, Exchange with sayGoodbye in src/net/exchange; Hosts keeps addresses and attempts. Clients use Relay directly. Code is moved, one member renamed, comments reworded; behaviour is unchanged.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "net/line.hpp"
+#include "net/relay.hpp"
 
 namespace ivyreel::net {
 
@@ -386,7 +387,8 @@
 
 Task<void> Clients::relay(Exchange& exchange, Ticket& ticket, const Opening& opening, RelayState& state) {
     const Listed standing{standing_, exchange};
-    const bool handedOver = co_await hosts_.relay(exchange, ticket, state);
+    Relay relay{exchange, ticket, facade_, counters_, state};
+    const bool handedOver = co_await relay.run();
     if (!handedOver) co_return;
     ++counters_.handedOver;
     exchange.successor->give({opening.withTime(Micros{0}), ticket.host(), ticket.load(), std::move(state),
--- /dev/null
+++ b/src/net/exchange.cpp
@@ -0,0 +1,35 @@
+#include "net/exchange.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <utility>
+
+namespace ivyreel::net {
+
+namespace {
+
+constexpr std::size_t kMostDiscarded = 256UL * 1024;  // of what still comes after the last line
+
+}  // namespace
+
+Task<void> sayGoodbye(Exchange& exchange, std::string line) {
+    const Scheduler& scheduler = exchange.signal.scheduler();
+    const Time until = scheduler.now() + kLinger;
+    Connection& client = exchange.client;
+    std::size_t sent = 0;
+    bool finished = false;
+    std::size_t discarded = 0;
+    while (!client.broken && scheduler.now() < until) {
+        client.send(line, sent);
+        if (sent == line.size() && !std::exchange(finished, true)) client.socket.finishSending();
+        discarded += client.in.size();
+        client.in.drop(client.in.size());
+        // There may be more; the others have their turn first.
+        if (discarded < kMostDiscarded && client.fill()) exchange.signal.raise();
+        if (exchange.yielded || (finished && client.over())) break;
+        co_await exchange.signal.wait(until);
+    }
+    client.socket.close();
+}
+
+}  // namespace ivyreel::net
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,4 +1,6 @@
 // The relay of a standing connection from inside: what the host's lines tell the node.
+#include "net/relay.hpp"
+
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,7 +13,6 @@
 #include <vector>
 
 #include "facade/facade.hpp"
-#include "net/hosts.hpp"
 
 namespace ivyreel::net {
 namespace {
@@ -35,7 +36,6 @@
     Counters counters;
     std::vector<Event> seen;
     Facade facade{NodeSettings{}, *this, [this](Settings) { return std::make_unique<RecordingRules>(seen); }};
-    Hosts hosts{facade, counters};
     const HostId host = hostIdOf("s-1");
     std::array<int, 2> client{-1, -1};
     std::array<int, 2> server{-1, -1};
@@ -61,7 +61,8 @@
         Ticket ticket{facade, exchange, Asked{}};
         facade.stands(ticket, host);
         RelayState state;
-        co_await hosts.relay(exchange, ticket, state);
+        Relay relayed{exchange, ticket, facade, counters, state};
+        co_await relayed.run();
         scheduler.stop();
     }
 
