--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -102,6 +102,8 @@
         {"list_additional_calls", listAdditionalCalls},
         {"list_refused", listRefused},
         {"list_given_up", listGivenUp},
+        {"withheld", withheld},
+        {"withheld_cleared", withheldCleared},
     };
     std::string result;
     for (const auto& [name, value] : all) {
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -69,6 +69,8 @@
     std::uint64_t listAdditionalCalls = 0;  //   of these, beside one that was not answered
     std::uint64_t listRefused = 0;          //   turned away, or their connection broke before an answer
     std::uint64_t listGivenUp = 0;          //   closed by this node without an answer
+    std::uint64_t withheld = 0;         // hosts withheld from new connections because of their own answers
+    std::uint64_t withheldCleared = 0;  // and no longer so
 
     void count(Outcome attempt);  // one that ended before it was up
     std::string text() const;
--- a/src/net/membership_watcher.cpp
+++ b/src/net/membership_watcher.cpp
@@ -86,6 +86,7 @@
         co_await signal_.wait();
     }
     moved_ = false;
+    setFreshness(ListFreshness::State::CatchingUp, freshness_.since);
     for (;;) {
         const std::unique_ptr<MembershipCall> watch = co_await openWatch();
         if (watch) co_await holdWatch(*watch);
@@ -277,6 +278,7 @@
 
 void MembershipWatcher::setFreshness(ListFreshness::State state, Time since) {
     freshness_ = {state, since};
+    facade_.setListFreshness(freshness_);
 }
 
 }  // namespace ivyreel::net
