The scheduler takes a clock, and tests have a virtual one

Cause: what a fleet does to an overloaded discovery takes minutes to show, and tests must not depend on how fast the machine is.

Change: Clock tells the time and waits for events. SystemClock holds the code that the scheduler had (monotonic time, epoll_pwait2); Scheduler() uses it as before. VirtualClock, in tests/, jumps to the next timer when no socket has anything to report.

--- /dev/null
+++ b/src/net/clock.cpp
@@ -0,0 +1,28 @@
+#include "net/clock.hpp"
+
+#include <cerrno>
+#include <ctime>
+#include <system_error>
+
+namespace ivyreel::net {
+
+SystemClock::SystemClock()
+    : steadyStart_(std::chrono::steady_clock::now()),
+      unixStart_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch())) {}
+
+Time SystemClock::now() const {
+    return unixStart_ + std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - steadyStart_);
+}
+
+std::size_t SystemClock::wait(int epoll, std::span<epoll_event> events, Micros longest) {
+    timespec timeout{};
+    timeout.tv_sec = longest.count() / 1'000'000;
+    timeout.tv_nsec = longest.count() % 1'000'000 * 1'000;
+    const int count =
+        ::epoll_pwait2(epoll, events.data(), static_cast<int>(events.size()), &timeout, nullptr);
+    if (count >= 0) return static_cast<std::size_t>(count);
+    if (errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_pwait2");
+    return 0;
+}
+
+}  // namespace ivyreel::net
--- a/src/net/scheduler.cpp
+++ b/src/net/scheduler.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <ctime>
 #include <exception>
 #include <system_error>
 #include <utility>
@@ -43,10 +42,10 @@
     std::coroutine_handle<promise_type> frame;
 };
 
-Scheduler::Scheduler()
-    : epoll_(::epoll_create1(EPOLL_CLOEXEC)),
-      steadyStart_(std::chrono::steady_clock::now()),
-      unixStart_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch())) {
+Scheduler::Scheduler() : Scheduler(std::make_unique<SystemClock>()) {}
+
+Scheduler::Scheduler(std::unique_ptr<Clock> clock)
+    : epoll_(::epoll_create1(EPOLL_CLOEXEC)), clock_(std::move(clock)) {
     if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
@@ -65,10 +64,6 @@
     ready_.clear();
 }
 
-Time Scheduler::now() const {
-    return unixStart_ + std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - steadyStart_);
-}
-
 Scheduler::Root Scheduler::start(Scheduler& /*scheduler*/, Task<void> task) {
     try {
         co_await task;
@@ -124,15 +119,10 @@
 
 void Scheduler::wait(Time until) {
     const Micros left = until == kNever ? kLongestWait : std::clamp(until - now(), Micros{0}, kLongestWait);
-    timespec timeout{};
-    timeout.tv_sec = left.count() / 1'000'000;
-    timeout.tv_nsec = left.count() % 1'000'000 * 1'000;
     std::array<epoll_event, kEventsPerTurn> events;
-    const int count =
-        ::epoll_pwait2(epoll_, events.data(), static_cast<int>(events.size()), &timeout, nullptr);
-    if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_pwait2");
-    for (int i = 0; i < count; ++i) {
-        static_cast<Signal*>(events[static_cast<std::size_t>(i)].data.ptr)->raise();
+    const std::size_t count = clock_->wait(epoll_, events, left);
+    for (std::size_t i = 0; i < count; ++i) {
+        static_cast<Signal*>(events[i].data.ptr)->raise();
     }
 }
 
--- a/src/net/scheduler.hpp
+++ b/src/net/scheduler.hpp
@@ -5,35 +5,34 @@
 // or destroyed while events are handed out.
 #pragma once
 
-#include <chrono>
 #include <coroutine>
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <unordered_set>
 #include <vector>
 
+#include "net/clock.hpp"
 #include "net/task.hpp"
 
 namespace ivyreel::net {
 
-using Micros = std::chrono::microseconds;
-using Time = std::chrono::microseconds;  // Unix time as of the start, never going back
-
 constexpr Time kNever = Time::max();
 
 class Signal;
 
 class Scheduler {
   public:
-    Scheduler();
+    Scheduler();  // by the system's clock
+    explicit Scheduler(std::unique_ptr<Clock> clock);
     ~Scheduler();
     Scheduler(const Scheduler&) = delete;
     Scheduler& operator=(const Scheduler&) = delete;
     Scheduler(Scheduler&&) = delete;
     Scheduler& operator=(Scheduler&&) = delete;
 
-    Time now() const;
+    Time now() const { return clock_->now(); }
 
     // Starts a coroutine of its own. Its frame is given back when it ends, by dropTasks(), or with the
     // scheduler.
@@ -66,8 +65,7 @@
     void runReady();
 
     int epoll_;
-    std::chrono::steady_clock::time_point steadyStart_;
-    Time unixStart_;
+    std::unique_ptr<Clock> clock_;
     bool stopped_ = false;
     std::size_t descriptors_ = 0;  // watched now
     Timers timers_;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "virtual_clock.hpp"
+
 namespace ivyreel::net {
 namespace {
 
@@ -32,6 +34,20 @@
     scheduler.stop();
 }
 
+TEST(Scheduler, ByAVirtualClockAnHourPassesAtOnceAndToTheMicrosecond) {
+    Scheduler scheduler{std::make_unique<VirtualClock>()};
+    const Time start = scheduler.now();
+    Time end{0};
+    scheduler.spawn([](Scheduler& s, Time& ended) -> Task<void> {
+        Signal pause{s};
+        co_await pause.wait(s.now() + 1h + 1us);
+        ended = s.now();
+        s.stop();
+    }(scheduler, end));
+    scheduler.run();
+    EXPECT_EQ(end - start, 1h + 1us);
+}
+
 TEST(Scheduler, ASignalRaisedTwiceWakesOnce) {
     Scheduler scheduler;
     Signal signal{scheduler};
