--- a/src/net/membership_watcher.cpp
+++ b/src/net/membership_watcher.cpp
@@ -182,7 +182,7 @@
 void MembershipWatcher::giveUp(Calls& calls, std::string_view why) {
     for (const auto& call : calls) {
         countFailure(CallFailure::Unanswered);
-        spdlog::warn("the list: a call is given up unanswered after {:.2f} s: {}",
+        spdlog::warn("the list: discovery does not answer, a call is given up after {:.2f} s: {}",
                      inSeconds(scheduler_.now() - call->begunAt()), why);
     }
     calls.clear();
