The hand-over is split into rendezvous, predecessor state, link, messages and its two sides

Each has a file now: the Unix socket with messages that carry descriptors (unix_socket, unique_descriptor), the place where a successor finds the node (rendezvous), what a starting process asks for (predecessor_state), the link (handover_link) and its typed messages (handover_messages). Party is now HandoverDelegate, Heritage PredecessorState.

What goes over the socket is the same text as before; a new test pins it. Two things differ for messages that no version sends: a request whose console is no text is turned down instead of ending in an exception, and a count of descriptors from a successor that cannot be read is logged.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,7 +8,8 @@
 #include <utility>
 
 #include "config.hpp"
-#include "net/handover.hpp"
+#include "net/predecessor_state.hpp"
+#include "net/rendezvous.hpp"
 #include "node.hpp"
 
 namespace {
@@ -40,7 +41,7 @@
         Config config = readConfig();
         config.sockets = descriptorLimit(config.sockets);
         const net::Rendezvous rendezvous = rendezvousOf(config);
-        Node node{std::move(config), rendezvous, net::Heritage::ask(rendezvous)};
+        Node node{std::move(config), rendezvous, net::PredecessorState::request(rendezvous)};
         node.run();
     } catch (const std::exception& error) {
         spdlog::critical("{}", error.what());
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -1,84 +1,56 @@
 // The hand-over of a running node to a process that goes on in its place, over a Unix socket.
 //
-// The successor asks, the old node answers with its estate and its listening sockets, and both keep the
-// connection as a link: lines of JSON that tell the other of bans, of SIGHUP, of descriptors in use, and that
-// the successor serves. docs/daily-service.md has the order of things.
+// The successor asks (predecessor_state), the node answers with its state and its listening sockets, and both
+// keep the connection as a link: messages that tell the other of bans, of SIGHUP, of descriptors in use, and
+// that the successor serves. docs/daily-service.md has the order of events.
 #pragma once
 
 #include <cstddef>
 #include <list>
-#include <memory>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "net/handover_messages.hpp"
+#include "net/rendezvous.hpp"
 #include "net/scheduler.hpp"
-#include "net/socket.hpp"
 #include "net/standing.hpp"
 #include "rules.hpp"
 
 namespace ivyreel::net {
 
-// What a node gives away, and does, at a hand-over.
-class Party {
+// What the node gives away, and does, at a hand-over.
+class HandoverDelegate {
   public:
-    Party() = default;
-    Party(const Party&) = delete;
-    Party& operator=(const Party&) = delete;
-    Party(Party&&) = delete;
-    Party& operator=(Party&&) = delete;
-    virtual ~Party() = default;
-    virtual std::string estate() const = 0;          // one line
-    virtual std::vector<int> listeners() const = 0;  // at most kMostListeners
+    HandoverDelegate() = default;
+    HandoverDelegate(const HandoverDelegate&) = delete;
+    HandoverDelegate& operator=(const HandoverDelegate&) = delete;
+    HandoverDelegate(HandoverDelegate&&) = delete;
+    HandoverDelegate& operator=(HandoverDelegate&&) = delete;
+    virtual ~HandoverDelegate() = default;
+
+    // What the node knows, as one line.
+    virtual std::string estate() const = 0;
+    // The listening sockets, which stay the node's; at most kMostDescriptorsPerMessage.
+    virtual std::vector<int> listeners() const = 0;
+    // How many descriptors the process holds.
     virtual std::size_t descriptorsHeld() const = 0;
-    virtual void successorServes(bool serves,
-                                 const std::string& console) = 0;  // false: it has ended, this node goes on
-    virtual void predecessorHolds(std::size_t descriptors) = 0;    // 0: it has ended
+    // The successor, whose operators call at `console`, serves. False: it has ended, and this node goes on.
+    virtual void successorServes(bool serves, const std::string& console) = 0;
+    // The predecessor holds so many descriptors; 0: it has ended.
+    virtual void predecessorHolds(std::size_t descriptors) = 0;
+    // An operator has banned a host at the other node, or lifted the ban.
     virtual void toldBan(HostId host, bool banned) = 0;
+    // The other node was told to read its configuration again.
     virtual void toldReload() = 0;
+    // A connection of the predecessor's, whose descriptors are this node's from now on.
     virtual void adopt(const StandingConnection& connection) = 0;
 };
 
-constexpr std::size_t kMostListeners = 2;
-
-// Where a node with this name listens for its successor.
-struct Rendezvous {
-    std::string directory;  // empty: nowhere
-    std::string name;
-    std::string listen;   // where it serves clients: the successor must want the same
-    std::string console;  // where operators call; empty: nowhere
-
-    std::string file() const;
-};
-
-// What a successor was given: the link, the listening sockets and the estate as it came.
-class Heritage {
-  public:
-    Heritage() = default;
-    Heritage(Heritage&& other) noexcept;
-    Heritage& operator=(Heritage&&) = delete;
-    Heritage(const Heritage&) = delete;
-    Heritage& operator=(const Heritage&) = delete;
-    ~Heritage();
-
-    // Asks a node that runs there, for a second at most; none if there is none or it gives nothing.
-    static std::optional<Heritage> ask(const Rendezvous& at);
-
-    // Gives a descriptor away; -1 if there is none.
-    int takeLink();
-    int takeListener(std::size_t index);
-
-    std::string estate;
-
-  private:
-    int link_ = -1;
-    std::vector<int> listeners_;
-};
-
+// Both sides of the hand-over: waits for a successor, and follows the link to a predecessor.
 class Handover final : public Successor {
   public:
-    Handover(Scheduler& scheduler, Party& party, Rendezvous at)
-        : scheduler_(scheduler), party_(party), at_(std::move(at)), signal_(scheduler) {}
+    Handover(Scheduler& scheduler, HandoverDelegate& delegate, Rendezvous rendezvous);
     Handover(const Handover&) = delete;
     Handover& operator=(const Handover&) = delete;
     Handover(Handover&&) = delete;
@@ -87,35 +59,44 @@
 
     // Waits for successors, as long as the node runs.
     Task<void> listen();
-    // The link to the node before this one.
-    Task<void> follow(int link);
-    // From now on this node serves: the one before it is told.
+    // Follows the link to the predecessor until that ends.
+    Task<void> follow(int descriptor);
+    // From now on this node serves: the predecessor is told.
     void serve();
+    // Tells the other nodes that an operator has banned a host, or lifted the ban.
     void tellBan(HostId host, bool banned);
+    // Tells the other nodes to read their configuration again.
     void tellReload();
 
+    // Whether a successor serves.
     bool serves() const override;
     void give(const StandingConnection& connection) override;
 
   private:
-    struct Link;
-
-    Task<void> succeed(int descriptor);
-    Task<void> converse(Link& link);
-    bool mayHave(const std::string& question) const;
-    void hear(Link& link, const std::string& message);
-    void tell(const std::string& message, const Link* except = nullptr);
-    bool open();
+    struct Session;
+
+    void acceptSuccessors();
+    Task<void> serveSuccessor(int descriptor);
+    Task<void> exchangeMessages(Session& session);
+    void sendState(Session& session);
+    void reportDescriptors(Session& session);
+    bool accepts(const HandoverRequest& request) const;
+    void handle(Session& session, const std::string& line);
+    void handle(Session& session, const ServingNotice& notice);
+    void handle(Session& session, const DescriptorCount& count);
+    void handle(Session& session, const BanNotice& notice);
+    void handle(Session& session, const ReloadNotice& notice);
+    void handle(Session& session, const ConnectionTransfer& transfer);
+    void broadcast(const std::string& line, const Session* except = nullptr);
     void stopListening();
 
     Scheduler& scheduler_;
-    Party& party_;
-    Rendezvous at_;
+    HandoverDelegate& delegate_;
     Signal signal_;
-    Socket listener_;
-    bool given_ = false;    // a successor has the estate
-    bool serving_ = false;  // this node does
-    std::list<Link*> links_;
+    RendezvousListener listener_;
+    bool stateGiven_ = false;  // to a successor whose link is open
+    bool serving_ = false;     // this node serves
+    std::list<Session*> sessions_;
 };
 
 }  // namespace ivyreel::net
--- /dev/null
+++ b/src/net/handover_messages.cpp
@@ -0,0 +1,120 @@
+#include "net/handover_messages.hpp"
+
+#include <cstdint>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+#include "net/line.hpp"
+#include "number.hpp"
+
+namespace ivyreel::net {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kProtocolVersion = 1;
+
+std::string toHex(std::string_view bytes) {
+    static constexpr std::string_view kDigits = "0123456789abcdef";
+    std::string result;
+    for (const char c : bytes) {
+        const auto byte = static_cast<unsigned char>(c);
+        result.push_back(kDigits[byte >> 4U]);
+        result.push_back(kDigits[byte & 0xfU]);
+    }
+    return result;
+}
+
+std::string fromHex(std::string_view digits) {
+    std::string result;
+    for (std::size_t i = 0; i + 1 < digits.size(); i += 2) {
+        result.push_back(static_cast<char>(wholeNumber<unsigned char>(digits.substr(i, 2), 16).value_or(0)));
+    }
+    return result;
+}
+
+std::string toLine(const Json& message) {
+    return message.dump() + "\n";
+}
+
+// Whether the parts of a connection fit together, so that a relay can go on with it.
+bool isConsistent(const StandingConnection& connection) {
+    const auto line = firstLine(connection.opening);
+    if (!line || !Opening::parse(line->text)) return false;
+    const RelayState& relay = connection.relay;
+    return relay.toHost <= relay.fromClient.size() && relay.toClient <= relay.fromHost.size();
+}
+
+}  // namespace
+
+std::optional<HandoverRequest> HandoverRequest::parse(const std::string& text) {
+    const Json content = Json::parse(text, nullptr, false);
+    if (!content.is_object() || content.value("successor", Json{}) != Json(kProtocolVersion))
+        return std::nullopt;
+    const Json listen = content.value("listen", Json{});
+    const Json console = content.value("console", Json(""));
+    if (!listen.is_string() || !console.is_string()) return std::nullopt;
+    return HandoverRequest{listen.get<std::string>(), console.get<std::string>()};
+}
+
+StandingConnection ConnectionTransfer::parse() const {
+    StandingConnection connection;
+    connection.opening = fromHex(content.at("connection").get<std::string>());
+    connection.host = HostId{content.at("host").get<std::uint64_t>()};
+    connection.relay.fromClient = fromHex(content.at("from_client").get<std::string>());
+    connection.relay.fromHost = fromHex(content.at("from_host").get<std::string>());
+    connection.relay.toHost = content.at("to_host").get<std::size_t>();
+    connection.relay.toClient = content.at("to_client").get<std::size_t>();
+    connection.relay.unanswered = Time{content.at("unanswered").get<Time::rep>()};
+    if (content.contains("load")) connection.load = content.at("load").get<double>();
+    if (!isConsistent(connection)) throw std::runtime_error("a connection that cannot be gone on with");
+    return connection;
+}
+
+HandoverMessage parseMessage(const std::string& text) {
+    Json content = Json::parse(text);
+    if (content.contains("serves")) return ServingNotice{};
+    if (content.contains("holds")) return DescriptorCount{content.at("holds").get<std::size_t>()};
+    if (content.contains("ban"))
+        return BanNotice{HostId{content.at("ban").get<std::uint64_t>()}, content.at("on").get<bool>()};
+    if (content.contains("connection")) return ConnectionTransfer{std::move(content)};
+    if (content.contains("reload")) return ReloadNotice{};
+    return std::monostate{};
+}
+
+std::string encode(const HandoverRequest& request) {
+    return toLine(
+        Json{{"successor", kProtocolVersion}, {"listen", request.listen}, {"console", request.console}});
+}
+
+std::string encode(const ServingNotice& /*notice*/) {
+    return toLine(Json{{"serves", true}});
+}
+
+std::string encode(const DescriptorCount& count) {
+    return toLine(Json{{"holds", count.held}});
+}
+
+std::string encode(const BanNotice& notice) {
+    return toLine(Json{{"ban", static_cast<std::uint64_t>(notice.host)}, {"on", notice.banned}});
+}
+
+std::string encode(const ReloadNotice& /*notice*/) {
+    return toLine(Json{{"reload", true}});
+}
+
+std::string encode(const StandingConnection& connection) {
+    Json content{{"connection", toHex(connection.opening)},
+                 {"host", static_cast<std::uint64_t>(connection.host)},
+                 {"from_client", toHex(connection.relay.fromClient)},
+                 {"from_host", toHex(connection.relay.fromHost)},
+                 {"to_host", connection.relay.toHost},
+                 {"to_client", connection.relay.toClient},
+                 {"unanswered", connection.relay.unanswered.count()}};
+    if (connection.load) content["load"] = *connection.load;
+    return toLine(content);
+}
+
+}  // namespace ivyreel::net
--- /dev/null
+++ b/src/net/rendezvous.cpp
@@ -0,0 +1,66 @@
+#include "net/rendezvous.hpp"
+
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cctype>
+#include <cerrno>
+#include <cstddef>
+#include <cstdio>
+#include <cstring>
+
+#include "net/unix_socket.hpp"
+
+namespace ivyreel::net {
+
+namespace {
+
+constexpr std::size_t kLongestFileStem = 60;  // leaves room for the directory in a socket address
+constexpr int kListenBacklog = 4;
+
+}  // namespace
+
+std::string Rendezvous::file() const {
+    std::string result = "ivyreel-";
+    for (const char c : name) {
+        result.push_back(std::isalnum(static_cast<unsigned char>(c)) != 0 ? c : '_');
+    }
+    return result.substr(0, kLongestFileStem) + ".sock";
+}
+
+bool RendezvousListener::open() {
+    const UnixAddress address{rendezvous_.directory, rendezvous_.file()};
+    const UnixAddress temporary{rendezvous_.directory, rendezvous_.file() + ".new"};
+    if (!address.fits() || !temporary.fits()) return false;
+    ::unlink(temporary.path());
+    const int descriptor = newUnixSocket();
+    if (descriptor < 0) return false;
+    socket_ = Socket{signal_, descriptor};
+    // The rename puts the listening socket in place in one step, over what another process has left there.
+    if (::bind(descriptor, temporary.address(), temporary.size()) == 0 &&
+        ::chmod(temporary.path(), S_IRUSR | S_IWUSR) == 0 && ::listen(descriptor, kListenBacklog) == 0 &&
+        ::rename(temporary.path(), address.path()) == 0)
+        return true;
+    spdlog::info("no hand-over: {} in {}", std::strerror(errno), rendezvous_.directory);
+    socket_.close();
+    return false;
+}
+
+std::optional<int> RendezvousListener::accept() {
+    if (!socket_) return std::nullopt;
+    int descriptor = -1;
+    if (socket_.accept(descriptor) != Socket::Accepting::Taken) return std::nullopt;
+    return descriptor;
+}
+
+void RendezvousListener::close(File file) {
+    if (!socket_) return;
+    socket_.close();
+    if (file == File::Keep) return;
+    const UnixAddress address{rendezvous_.directory, rendezvous_.file()};
+    ::unlink(address.path());
+}
+
+}  // namespace ivyreel::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -55,15 +55,15 @@
     return told == 0 ? most : std::min(told, most);
 }
 
-Node::Node(Config config, const net::Rendezvous& rendezvous, std::optional<net::Heritage> heritage)
+Node::Node(Config config, const net::Rendezvous& rendezvous, std::optional<net::PredecessorState> predecessor)
     : config_(std::move(config)),
-      estate_(read(heritage)),
+      estate_(read(predecessor)),
       facade_(config_.settings, *this),
       hosts_(facade_, counters_),
       probes_(scheduler_, facade_, hosts_, counters_),
       watcher_(scheduler_, facade_, hosts_, counters_, config_.discovery, processSeed(scheduler_.now())),
       clients_(scheduler_, facade_, hosts_, probes_, counters_, config_.listen,
-               heritage ? heritage->takeListener(0) : -1, leftForClients()),
+               predecessor ? predecessor->takeListener(0) : -1, leftForClients()),
       handover_(scheduler_, *this, rendezvous),
       signals_(scheduler_),
       signalSocket_(signals_, openSignals()) {
@@ -83,14 +83,14 @@
     if (config_.console) {
         // One that the node before has too goes over with its queue.
         const bool shared = estate_ && estate_->console == config_.console->text();
-        console_.emplace(scheduler_, *this, *config_.console, shared ? heritage->takeListener(1) : -1);
+        console_.emplace(scheduler_, *this, *config_.console, shared ? predecessor->takeListener(1) : -1);
         console_->takeNew(!shared);
         scheduler_.spawn(console_->accept());
         spdlog::info("operators call at {}", console_->address().text());
     }
-    if (heritage) {
+    if (predecessor) {
         spdlog::info("taking over from a running node");
-        scheduler_.spawn(takeOver(heritage->takeLink()));
+        scheduler_.spawn(takeOver(predecessor->takeLink()));
     } else if (config_.listPushed) {
         scheduler_.spawn(begin());
     } else {
@@ -103,10 +103,10 @@
     watcher_.setPushGrace(config_.listPushed ? std::optional(grace) : std::nullopt);
 }
 
-std::optional<Estate> Node::read(const std::optional<net::Heritage>& heritage) {
-    if (!heritage) return std::nullopt;
+std::optional<Estate> Node::read(const std::optional<net::PredecessorState>& predecessor) {
+    if (!predecessor) return std::nullopt;
     try {
-        return Estate::parse(heritage->estate);
+        return Estate::parse(predecessor->estate());
     } catch (const std::exception& error) {
         spdlog::error("what the node before knew cannot be read: {}", error.what());
         return std::nullopt;
--- a/src/node.hpp
+++ b/src/node.hpp
@@ -16,16 +16,18 @@
 #include "net/handover.hpp"
 #include "net/hosts.hpp"
 #include "net/membership_watcher.hpp"
+#include "net/predecessor_state.hpp"
 #include "net/probes.hpp"
+#include "net/rendezvous.hpp"
 #include "net/scheduler.hpp"
 #include "net/socket.hpp"
 
 namespace ivyreel {
 
-class Node final : public Surroundings, public net::Operated, public net::Party {
+class Node final : public Surroundings, public net::Operated, public net::HandoverDelegate {
   public:
-    // Goes on for the node that left the heritage, if there is one.
-    Node(Config config, const net::Rendezvous& rendezvous, std::optional<net::Heritage> heritage);
+    // Goes on in the place of a predecessor, if there is one.
+    Node(Config config, const net::Rendezvous& rendezvous, std::optional<net::PredecessorState> predecessor);
     Node(const Node&) = delete;
     Node& operator=(const Node&) = delete;
     Node(Node&&) = delete;
@@ -56,7 +58,7 @@
 
   private:
     static int openSignals();
-    static std::optional<Estate> read(const std::optional<net::Heritage>& heritage);
+    static std::optional<Estate> read(const std::optional<net::PredecessorState>& predecessor);
     std::size_t leftForClients() const;
     void limitDescriptors();
     void serve();
--- /dev/null
+++ b/tests/handover_messages_test.cpp
@@ -0,0 +1,93 @@
+// The messages of the hand-over protocol: their exact text, which other versions read, and what is turned
+// down.
+#include "net/handover_messages.hpp"
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+#include <string>
+#include <variant>
+
+namespace ivyreel::net {
+namespace {
+
+StandingConnection exampleConnection() {
+    StandingConnection connection;
+    connection.opening = "OPEN 9b01 7f3a c=chat,d=0\r\n";
+    connection.host = HostId{42};
+    connection.load = 12.5;
+    connection.relay = {"one\r\ntwo", "\x01\xff\r\n", 5, 4, Time{1234567}};
+    return connection;
+}
+
+TEST(HandoverMessages, TheirTextStaysAsOtherVersionsReadIt) {
+    EXPECT_EQ(encode(HandoverRequest{"127.0.0.1:80", ""}),
+              "{\"console\":\"\",\"listen\":\"127.0.0.1:80\",\"successor\":1}\n");
+    EXPECT_EQ(encode(ServingNotice{}), "{\"serves\":true}\n");
+    EXPECT_EQ(encode(DescriptorCount{17}), "{\"holds\":17}\n");
+    EXPECT_EQ(encode(BanNotice{HostId{42}, true}), "{\"ban\":42,\"on\":true}\n");
+    EXPECT_EQ(encode(ReloadNotice{}), "{\"reload\":true}\n");
+    EXPECT_EQ(encode(exampleConnection()),
+              "{\"connection\":\"4f50454e2039623031203766336120633d636861742c643d300d0a\","
+              "\"from_client\":\"6f6e650d0a74776f\",\"from_host\":\"01ff0d0a\",\"host\":42,"
+              "\"load\":12.5,\"to_client\":4,\"to_host\":5,\"unanswered\":1234567}\n");
+}
+
+TEST(HandoverMessages, AConnectionIsReadAsItWasWritten) {
+    const StandingConnection sent = exampleConnection();
+    const HandoverMessage message = parseMessage(encode(sent));
+    ASSERT_TRUE(std::holds_alternative<ConnectionTransfer>(message));
+    const StandingConnection received = std::get<ConnectionTransfer>(message).parse();
+    EXPECT_EQ(received.opening, sent.opening);
+    EXPECT_EQ(received.host, sent.host);
+    EXPECT_EQ(received.load, sent.load);
+    EXPECT_EQ(received.relay.fromClient, sent.relay.fromClient);
+    EXPECT_EQ(received.relay.fromHost, sent.relay.fromHost);
+    EXPECT_EQ(received.relay.toHost, sent.relay.toHost);
+    EXPECT_EQ(received.relay.toClient, sent.relay.toClient);
+    EXPECT_EQ(received.relay.unanswered, sent.relay.unanswered);
+    EXPECT_EQ(received.clientSocket, -1);
+    EXPECT_EQ(received.hostSocket, -1);
+}
+
+TEST(HandoverMessages, AConnectionThatDoesNotFitTogetherIsTurnedDown) {
+    StandingConnection tooMuchToSend = exampleConnection();
+    tooMuchToSend.relay.toHost = tooMuchToSend.relay.fromClient.size() + 1;
+    StandingConnection unopened = exampleConnection();
+    unopened.opening = "PING\r\n";
+    for (const StandingConnection& connection : {tooMuchToSend, unopened}) {
+        const HandoverMessage message = parseMessage(encode(connection));
+        EXPECT_THROW(std::get<ConnectionTransfer>(message).parse(), std::runtime_error);
+    }
+}
+
+TEST(HandoverMessages, NoticesAreReadAsTheyWereWritten) {
+    EXPECT_TRUE(std::holds_alternative<ServingNotice>(parseMessage(encode(ServingNotice{}))));
+    EXPECT_TRUE(std::holds_alternative<ReloadNotice>(parseMessage(encode(ReloadNotice{}))));
+    EXPECT_EQ(std::get<DescriptorCount>(parseMessage(encode(DescriptorCount{17}))).held, 17U);
+    const auto ban = std::get<BanNotice>(parseMessage(encode(BanNotice{HostId{42}, true})));
+    EXPECT_EQ(ban.host, HostId{42});
+    EXPECT_TRUE(ban.banned);
+}
+
+TEST(HandoverMessages, UnknownOnesAreToldApartFromBadOnes) {
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(parseMessage("{\"later\":1}")));
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(parseMessage("[]")));
+    EXPECT_ANY_THROW(parseMessage("{\"ban\":42}"));
+    EXPECT_ANY_THROW(parseMessage("no json"));
+}
+
+TEST(HandoverMessages, OnlyARequestOfThisVersionIsRead) {
+    const auto request = HandoverRequest::parse(encode(HandoverRequest{"127.0.0.1:80", "127.0.0.1:81"}));
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->listen, "127.0.0.1:80");
+    EXPECT_EQ(request->console, "127.0.0.1:81");
+    for (const std::string text :
+         {"no json", "[]", "{\"successor\":2,\"listen\":\"127.0.0.1:80\"}", "{\"listen\":\"127.0.0.1:80\"}",
+          "{\"successor\":1}", "{\"successor\":1,\"listen\":\"127.0.0.1:80\",\"console\":7}"}) {
+        EXPECT_FALSE(HandoverRequest::parse(text)) << text;
+    }
+}
+
+}  // namespace
+}  // namespace ivyreel::net
