The node's test harness is split by job: loopback sockets, queue, host, discovery, process

Its classes moved unchanged to loopback.hpp, blocking_queue.hpp, toy_host.hpp, toy_discovery.hpp and node_process.hpp; the harness keeps what joins them. Tests name the standard headers that they use themselves.

--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <fstream>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
--- /dev/null
+++ b/tests/toy_discovery.hpp
@@ -0,0 +1,60 @@
+// Discovery for tests: hands each watch to the test, which says what is listed.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <string>
+#include <utility>
+
+#include "blocking_queue.hpp"
+#include "loopback.hpp"
+
+namespace ivyreel::test {
+
+// Discovery: each watch is handed to the test with its request line.
+class ToyDiscovery {
+  public:
+    struct Watch {
+        std::string request;
+        Wire wire;
+
+        void begin() const { wire.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+        void line(const std::string& text) const {
+            char size[32];
+            std::snprintf(size, sizeof size, "%zx\r\n", text.size() + 1);
+            wire.say(size + text + "\n\r\n");
+        }
+    };
+
+    ToyDiscovery() : listener_([this](Wire wire) { serve(std::move(wire)); }) {}
+
+    std::string address() const { return listener_.address(); }
+    Watch next() {
+        auto watch = watches_.pop();
+        if (!watch) {
+            ADD_FAILURE() << "no call came to discovery";
+            return {"(hang)", Wire{}};
+        }
+        return std::move(*watch);
+    }
+
+  private:
+    void serve(Wire wire) {
+        std::string request = wire.line();
+        for (std::string line = request; !line.empty() && !line.starts_with("("); line = wire.line()) {
+        }
+        watches_.push({std::move(request), std::move(wire)});
+    }
+
+    Queue<Watch> watches_;
+    Listener listener_;
+};
+
+inline std::string listed(const std::string& id, const std::string& address,
+                          const std::string& state = "active") {
+    return R"({"id":")" + id + R"(","addr":")" + address + R"(","zone":"a","kind":"m1","cell":0,"state":")" +
+           state + R"(","weight":1.0,"started_ms":0})";
+}
+
+}  // namespace ivyreel::test
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,6 +1,8 @@
 // Two processes of the node: one goes on in the other's place.
 #include <gtest/gtest.h>
+#include <sys/un.h>
 
+#include <atomic>
 #include <cstring>
 #include <filesystem>
 #include <optional>
