The ids of requests have a module of their own

Clients kept the ids of open and lately ended requests beside all else that it does. Behaviour is unchanged.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -26,8 +26,6 @@
 constexpr Micros kOpeningWithin = 2s;     // the opening line comes with the connection; the front asks once
 constexpr Micros kMayYieldAfter = 10ms;   // what came with the connection has been read by then
 constexpr std::size_t kUnopenedPart = 6;  // one descriptor in so many: for connections without a request
-constexpr Micros kIdKept = 10s;           // after its request's end: who copies an id may come that late
-constexpr std::size_t kMostIds = 4096;    // of ended requests
 constexpr int kLinesPerTurn = 16;         // of one connection, before the others have their turn
 constexpr double kLongestPatienceMs = 86'400'000;  // a day: no client waits for longer
 constexpr Micros kReadyPoll = 20ms;                // until the node serves, a PING waits
@@ -146,26 +144,6 @@
     return full();
 }
 
-// Counts a request for as long as it is open, and keeps its id a while longer: ids are new with every
-// connection.
-class Clients::OpenRequest {
-  public:
-    OpenRequest(Clients& clients, std::uint64_t id) : clients_(clients), id_(id) {
-        ++clients_.requests_;
-        clients_.ids_.insert(id);
-    }
-    OpenRequest(const OpenRequest&) = delete;
-    OpenRequest& operator=(const OpenRequest&) = delete;
-    ~OpenRequest() {
-        --clients_.requests_;
-        clients_.endedIds_.emplace_back(clients_.scheduler_.now(), id_);
-    }
-
-  private:
-    Clients& clients_;
-    std::uint64_t id_;
-};
-
 Task<void> Clients::serve(std::unique_ptr<Exchange> owned) {
     Exchange& exchange = *owned;
     try {
@@ -175,7 +153,7 @@
             unopened.reset();
             exchange.yielded = false;  // its line was here by then: it is a request now
             ++counters_.requests;
-            const OpenRequest request{*this, opening->id()};
+            const OpenRequest request{requestIds_, scheduler_, opening->id()};
             ClassCounts& counts = counters_.classes[std::string(opening->value("c"))];
             if (!opening->value("at").empty()) {
                 co_await takeUp(exchange, *opening, counts);
@@ -196,20 +174,6 @@
     signal_.raise();
 }
 
-void Clients::keepIds(const std::vector<std::uint64_t>& ids) {
-    for (const std::uint64_t id : ids) {
-        if (ids_.insert(id).second) endedIds_.emplace_back(scheduler_.now(), id);
-    }
-}
-
-void Clients::forgetIds() {
-    const Time before = scheduler_.now() - kIdKept;
-    while (!endedIds_.empty() && (endedIds_.front().first < before || endedIds_.size() > kMostIds)) {
-        ids_.erase(endedIds_.front().second);
-        endedIds_.pop_front();
-    }
-}
-
 // What is wrong with an opening line that can be read, by its counter; none if nothing is.
 std::uint64_t* Clients::fault(const Opening& opening) {
     const auto bad = [&opening](std::string_view name, double most) {
@@ -220,8 +184,7 @@
     if ((opening.value("at").empty() && bad("d", kLongestPatienceMs)) ||
         (opening.has("h") && bad("h", std::numeric_limits<double>::max())))
         return &counters_.badNumber;
-    forgetIds();
-    return ids_.contains(opening.id()) ? &counters_.badId : nullptr;
+    return requestIds_.isKnown(opening.id(), scheduler_.now()) ? &counters_.badId : nullptr;
 }
 
 // The opening line of a sound request. Otherwise none, and the connection is done with: it has its answer, or
@@ -402,7 +365,7 @@
 
 Task<void> Clients::goOn(std::unique_ptr<Exchange> owned, StandingConnection connection) {
     const auto opening = Opening::parse(firstLine(connection.opening)->text);
-    const OpenRequest request{*this, opening->id()};
+    const OpenRequest request{requestIds_, scheduler_, opening->id()};
     Asked what = asked(*opening);
     if (connection.load) what.loadHint = connection.load;
     Ticket ticket{facade_, *owned, what};
@@ -454,7 +417,7 @@
     const Time moveFrom = start + std::max(kFrontNotices, (answered - start) / 2);
     for (;;) {
         const Time now = scheduler_.now();
-        if (requests_ == 0 && now >= moveFrom && drained) std::exchange(drained, nullptr)();
+        if (requestIds_.openCount() == 0 && now >= moveFrom && drained) std::exchange(drained, nullptr)();
         for (Exchange* exchange : standing_) {
             if (!successor.serves()) break;
             exchange->successor = &successor;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -3,20 +3,18 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_set>
-#include <utility>
 #include <vector>
 
 #include "facade/facade.hpp"
 #include "net/counters.hpp"
 #include "net/hosts.hpp"
 #include "net/probes.hpp"
+#include "net/request_ids.hpp"
 #include "net/scheduler.hpp"
 #include "net/socket.hpp"
 
@@ -36,12 +34,12 @@
     // Whether new connections are taken; they wait in the queue otherwise.
     void takeNew(bool taking);
     // Ids of requests that are open or ended lately, and those that another node had.
-    std::vector<std::uint64_t> ids() const { return {ids_.begin(), ids_.end()}; }
-    void keepIds(const std::vector<std::uint64_t>& ids);
+    std::vector<std::uint64_t> ids() const { return requestIds_.all(); }
+    void keepIds(const std::vector<std::uint64_t>& ids) { requestIds_.keep(ids, scheduler_.now()); }
     // How many sockets the node may hold in all from now on.
     void limitDescriptors(std::size_t most) { mostDescriptors_ = most; }
     // Connections taken and not ended.
-    std::size_t current() const { return requests_; }
+    std::size_t current() const { return requestIds_.openCount(); }
     // From now on the front is told that the node serves, unless it stops already.
     void serveNow() { serving_ = !draining_; }
     // Moves all clients before the node stops, or hands them over while a successor serves, and says when all
@@ -52,7 +50,6 @@
 
   private:
     class Unopened;
-    class OpenRequest;
 
     Task<void> serve(std::unique_ptr<Exchange> owned);
     Task<std::optional<Opening>> opening(Exchange& exchange);
@@ -66,7 +63,6 @@
     Task<void> forsaken(Exchange& exchange, Ticket& ticket, ClassCounts& counts);
     Task<void> reject(Exchange& exchange, std::uint64_t& cause, ClassCounts* counts);
     std::uint64_t* fault(const Opening& opening);
-    void forgetIds();
     std::size_t mostUnopened() const;
     Time makeRoom();
     bool full() const;
@@ -84,11 +80,9 @@
     bool serving_ = false;
     bool draining_ = false;
     bool taking_ = true;
-    std::list<Unopened*> unopened_;          // connections without a request, the oldest first
-    std::unordered_set<std::uint64_t> ids_;  // of the requests in progress or up, and of those lately ended
-    std::deque<std::pair<Time, std::uint64_t>> endedIds_;  // the latter, with their ends
-    std::size_t requests_ = 0;                             // in progress or up
-    std::set<Ticket*> placing_;                            // requests without a final answer
+    std::list<Unopened*> unopened_;  // connections without a request, the oldest first
+    RequestIds requestIds_;
+    std::set<Ticket*> placing_;     // requests without a final answer
     std::set<Exchange*> standing_;  // connections that are up, or stood before the start
 };
 
--- /dev/null
+++ b/src/net/request_ids.cpp
@@ -0,0 +1,45 @@
+#include "net/request_ids.hpp"
+
+#include <chrono>
+
+namespace ivyreel::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kKeptAfterEnd = 10s;     // who copies an id may come that late
+constexpr std::size_t kMostEnded = 4096;  // ids of ended requests
+
+}  // namespace
+
+void RequestIds::open(std::uint64_t id) {
+    ++openCount_;
+    ids_.insert(id);
+}
+
+void RequestIds::close(std::uint64_t id, Time now) {
+    --openCount_;
+    ended_.emplace_back(now, id);
+}
+
+void RequestIds::keep(const std::vector<std::uint64_t>& ids, Time now) {
+    for (const std::uint64_t id : ids) {
+        if (ids_.insert(id).second) ended_.emplace_back(now, id);
+    }
+}
+
+bool RequestIds::isKnown(std::uint64_t id, Time now) {
+    forgetOld(now);
+    return ids_.contains(id);
+}
+
+void RequestIds::forgetOld(Time now) {
+    const Time before = now - kKeptAfterEnd;
+    while (!ended_.empty() && (ended_.front().first < before || ended_.size() > kMostEnded)) {
+        ids_.erase(ended_.front().second);
+        ended_.pop_front();
+    }
+}
+
+}  // namespace ivyreel::net
