A node listens for its successor before it logs that it serves

Upgrade.StartsWithoutAHandOverWhereNothingSoundIsThere hung in 19 of 60 runs on two shared cores: the second process asked before the socket of the first was open and started alone, so that the awaited line never came. The socket is opened before the line now: 20 of 20 runs pass on the same two cores, the test is unchanged.

--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -59,10 +59,14 @@
       signal_(scheduler),
       listener_(signal_, std::move(rendezvous)) {}
 
+bool Handover::open() {
+    if (listener_.rendezvous().directory.empty()) return false;
+    return listener_ || listener_.open();
+}
+
 Task<void> Handover::listen() {
-    if (listener_.rendezvous().directory.empty()) co_return;
     for (;;) {
-        if (!stateGiven_ && !listener_ && !listener_.open()) co_return;
+        if (!stateGiven_ && !open()) co_return;
         acceptSuccessors();
         co_await signal_.wait();
     }
--- a/src/net/handover.hpp
+++ b/src/net/handover.hpp
@@ -57,6 +57,8 @@
     Handover& operator=(Handover&&) = delete;
     ~Handover() override { stopListening(); }
 
+    // Opens the socket at which a successor finds this node. False if there is none, or it cannot be opened.
+    bool open();
     // Waits for successors, as long as the node runs.
     Task<void> listen();
     // Follows the link to the predecessor until that ends.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -139,6 +139,8 @@
     clients_.takeNew(true);
     clients_.serveNow();
     if (console_) console_->takeNew(true);
+    // Before the log says that this node serves: whoever waits for that line may start its successor.
+    handover_.open();
     scheduler_.spawn(handover_.listen());
     spdlog::info("{} serves at {}", config_.name, clients_.address().text());
 }
