--- /dev/null
+++ b/src/net/membership_table.cpp
@@ -0,0 +1,54 @@
+#include "net/membership_table.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace ivyreel::net {
+
+namespace {
+
+void logMember(HostId host, const Member& member) {
+    const MemberEntry& entry = member.entry;
+    spdlog::debug("listed {} as {:016x} at {}: {}, kind {}, cell {}, started {}", entry.name,
+                  static_cast<std::uint64_t>(host), member.address.text(), stateName(entry.availability),
+                  entry.kind, entry.cell,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(entry.started).count());
+}
+
+}  // namespace
+
+void MembershipTable::apply(const MembershipUpdate& update) {
+    version_ = update.version;
+    if (update.full) {
+        hosts_.forgetAddresses();
+        members_.clear();
+    }
+    for (const Member& member : update.members) {
+        apply(member);
+    }
+}
+
+void MembershipTable::apply(const Member& member) {
+    const HostId host = hostIdOf(member.entry.name);
+    logMember(host, member);
+    if (member.entry.availability == Availability::Gone) {
+        hosts_.forgetAddress(host);
+        members_.erase(member.entry.name);
+    } else {
+        hosts_.setAddress(host, member.address);
+        members_[member.entry.name] = member;
+    }
+}
+
+MembershipUpdate MembershipTable::snapshot() const {
+    MembershipUpdate whole;
+    whole.version = version_;
+    whole.full = true;
+    for (const auto& [name, member] : members_) {
+        whole.members.push_back(member);
+    }
+    return whole;
+}
+
+}  // namespace ivyreel::net
--- a/src/net/membership_update.cpp
+++ b/src/net/membership_update.cpp
@@ -45,19 +45,17 @@
         const auto address = Address::parse(valueOr(server, "addr", std::string()));
         if (!address && host.availability != Availability::Gone)
             throw std::runtime_error("bad address of " + host.name + " in the list");
-        update.hosts.push_back(std::move(host));
-        update.addresses.push_back(address.value_or(Address{}));
+        update.members.push_back({std::move(host), address.value_or(Address{})});
     }
     return update;
 }
 
 std::string MembershipUpdate::text() const {
     Json servers = Json::array();
-    for (std::size_t i = 0; i < hosts.size(); ++i) {
-        const MemberEntry& host = hosts[i];
+    for (const auto& [host, address] : members) {
         const auto started = std::chrono::duration_cast<std::chrono::milliseconds>(host.started);
         servers.push_back({{"id", host.name},
-                           {"addr", addresses[i].text()},
+                           {"addr", address.text()},
                            {"zone", host.zone},
                            {"kind", host.kind},
                            {"cell", host.cell},
@@ -68,4 +66,13 @@
     return Json{{"version", version}, {"full", full}, {"servers", std::move(servers)}}.dump();
 }
 
+std::vector<MemberEntry> MembershipUpdate::entries() const {
+    std::vector<MemberEntry> result;
+    result.reserve(members.size());
+    for (const Member& member : members) {
+        result.push_back(member.entry);
+    }
+    return result;
+}
+
 }  // namespace ivyreel::net
--- a/src/net/membership_update.hpp
+++ b/src/net/membership_update.hpp
@@ -14,14 +14,23 @@
 // The name that discovery has for it: "active", "leaving" or "left".
 const char* stateName(Availability availability);
 
+// One server of the list, with the address at which this node reaches it.
+struct Member {
+    MemberEntry entry;
+    Address address;
+};
+
 struct MembershipUpdate {
     std::uint64_t version = 0;
-    bool full = false;
-    std::vector<MemberEntry> hosts;
-    std::vector<Address> addresses;  // of the hosts, in the same order
+    bool full = false;  // the whole list
+    std::vector<Member> members;
 
-    static MembershipUpdate parse(std::string_view json);  // throws std::runtime_error
-    std::string text() const;                              // in the same form
+    // Reads a message in discovery's form. Throws std::runtime_error.
+    static MembershipUpdate parse(std::string_view json);
+    // The message in the same form.
+    std::string text() const;
+    // The members without their addresses.
+    std::vector<MemberEntry> entries() const;
 };
 
 }  // namespace ivyreel::net
--- a/src/net/membership_watcher.cpp
+++ b/src/net/membership_watcher.cpp
@@ -28,47 +28,14 @@
                                      const Address& discovery, std::uint64_t seed)
     : scheduler_(scheduler),
       facade_(facade),
-      hosts_(hosts),
       counters_(counters),
       discovery_(discovery),
       policy_(seed),
-      signal_(scheduler) {
+      signal_(scheduler),
+      table_(hosts) {
     freshness_.since = scheduler.now();
 }
 
-void MembershipWatcher::restore(const MembershipUpdate& known) {
-    version_ = known.version;
-    if (known.full) {
-        hosts_.forgetAddresses();
-        entries_.clear();
-    }
-    for (std::size_t i = 0; i < known.hosts.size(); ++i) {
-        const HostId host = hostIdOf(known.hosts[i].name);
-        spdlog::debug("listed {} as {:016x} at {}: {}, kind {}, cell {}, started {}", known.hosts[i].name,
-                      static_cast<std::uint64_t>(host), known.addresses[i].text(),
-                      stateName(known.hosts[i].availability), known.hosts[i].kind, known.hosts[i].cell,
-                      std::chrono::duration_cast<std::chrono::milliseconds>(known.hosts[i].started).count());
-        if (known.hosts[i].availability == Availability::Gone) {
-            hosts_.forgetAddress(host);
-            entries_.erase(known.hosts[i].name);
-        } else {
-            hosts_.setAddress(host, known.addresses[i]);
-            entries_[known.hosts[i].name] = {known.hosts[i], known.addresses[i]};
-        }
-    }
-}
-
-MembershipUpdate MembershipWatcher::snapshot() const {
-    MembershipUpdate whole;
-    whole.version = version_;
-    whole.full = true;
-    for (const auto& [name, entry] : entries_) {
-        whole.hosts.push_back(entry.member);
-        whole.addresses.push_back(entry.address);
-    }
-    return whole;
-}
-
 void MembershipWatcher::start() {
     started_ = true;
     signal_.raise();
@@ -130,7 +97,7 @@
 void MembershipWatcher::addCall(Calls& calls) {
     ++counters_.listCalls;
     if (!calls.empty()) ++counters_.listAdditionalCalls;
-    calls.push_back(std::make_unique<MembershipCall>(signal_, discovery_, version_));
+    calls.push_back(std::make_unique<MembershipCall>(signal_, discovery_, table_.version()));
     additionalCallAt_ = scheduler_.now() + policy_.additionalCallAfter();
 }
 
@@ -252,8 +219,8 @@
         lastMessageAt_ = scheduler_.now();
         if (message) {
             ++counters_.listChanges;
-            restore(*message);
-            facade_.listed(message->full, message->hosts);
+            table_.apply(*message);
+            facade_.listed(message->full, message->entries());
         } else if (!live()) {
             facade_.listed(false, {});
         }
@@ -265,7 +232,8 @@
     const Micros without = scheduler_.now() - freshness_.since;
     withoutWatch_ += without;
     firstCallEnded_ = true;
-    spdlog::info("the list is live after {:.2f} s without a watch, version {}", inSeconds(without), version_);
+    spdlog::info("the list is live after {:.2f} s without a watch, version {}", inSeconds(without),
+                 table_.version());
     setFreshness(ListFreshness::State::Live, scheduler_.now());
 }
 
--- a/src/net/membership_watcher.hpp
+++ b/src/net/membership_watcher.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +15,7 @@
 #include "net/counters.hpp"
 #include "net/hosts.hpp"
 #include "net/membership_call.hpp"
+#include "net/membership_table.hpp"
 #include "net/membership_update.hpp"
 #include "net/scheduler.hpp"
 #include "net/socket.hpp"
@@ -36,9 +36,9 @@
                       const Address& discovery, std::uint64_t seed);
 
     // Takes over a list that was known before the start.
-    void restore(const MembershipUpdate& known);
+    void restore(const MembershipUpdate& known) { table_.apply(known); }
     // The whole list as it is known now.
-    MembershipUpdate snapshot() const;
+    MembershipUpdate snapshot() const { return table_.snapshot(); }
     // How far the list can be trusted.
     ListFreshness freshness() const { return freshness_; }
     bool live() const { return freshness_.live(); }
@@ -83,7 +83,6 @@
 
     Scheduler& scheduler_;
     Facade& facade_;
-    Hosts& hosts_;
     Counters& counters_;
     Address discovery_;
     CallPolicy policy_;
@@ -96,12 +95,7 @@
     Time lastMessageAt_{0};
     Time nextCallAt_{0};
     Time additionalCallAt_ = kNever;
-    std::uint64_t version_ = 0;
-    struct Entry {
-        MemberEntry member;
-        Address address;
-    };
-    std::map<std::string, Entry> entries_;  // by name
+    MembershipTable table_;
 };
 
 }  // namespace ivyreel::net
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -75,7 +75,7 @@
     const net::MembershipUpdate& known = estate_ ? estate_->list : config_.known;
     watcher_.restore(known);
     listSettings();
-    facade_.start(known.hosts);
+    facade_.start(known.entries());
     if (estate_) {
         facade_.inherit(estate_->learned);
         clients_.keepIds(estate_->ids);
--- a/tests/membership_watcher_test.cpp
+++ b/tests/membership_watcher_test.cpp
@@ -197,8 +197,8 @@
         co_await g.until([&g] { return g.counters.listChanges == 2 || g.counters.listFailures > 0; });
     }));
     EXPECT_EQ(f.counters.listFailures, 0U);
-    ASSERT_EQ(f.watcher.snapshot().hosts.size(), 1U);
-    EXPECT_EQ(f.watcher.snapshot().hosts[0].name, R"(s-{1}"[)");
+    ASSERT_EQ(f.watcher.snapshot().members.size(), 1U);
+    EXPECT_EQ(f.watcher.snapshot().members[0].entry.name, R"(s-{1}"[)");
     EXPECT_EQ(f.watcher.snapshot().version, 10U);
 }
 
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -183,13 +183,13 @@
             {"id":"s-2","addr":"127.0.0.8:81","state":"active"}]})");
     EXPECT_EQ(update.version, 43U);
     EXPECT_FALSE(update.full);
-    ASSERT_EQ(update.hosts.size(), 2U);
-    EXPECT_EQ(update.hosts[0].name, "s-1");
-    EXPECT_EQ(update.hosts[0].availability, Availability::Draining);
-    EXPECT_EQ(update.hosts[0].started, Time{1700ms});
-    EXPECT_EQ(update.addresses[0].text(), "127.0.0.9:8080");
-    EXPECT_EQ(update.hosts[1].availability, Availability::Ready);
-    EXPECT_EQ(update.hosts[1].started, Time{0});
+    ASSERT_EQ(update.members.size(), 2U);
+    EXPECT_EQ(update.members[0].entry.name, "s-1");
+    EXPECT_EQ(update.members[0].entry.availability, Availability::Draining);
+    EXPECT_EQ(update.members[0].entry.started, Time{1700ms});
+    EXPECT_EQ(update.members[0].address.text(), "127.0.0.9:8080");
+    EXPECT_EQ(update.members[1].entry.availability, Availability::Ready);
+    EXPECT_EQ(update.members[1].entry.started, Time{0});
 }
 
 // Some write every key, with null for what there is not.
@@ -197,12 +197,12 @@
     const MembershipUpdate update = MembershipUpdate::parse(
         R"({"version":7,"full":null,"servers":[{"id":"s","addr":"127.0.0.1:1","zone":null,"kind":null,"cell":null,
             "state":null,"weight":null,"started_ms":null},{"id":"t","addr":null,"state":"left"}]})");
-    ASSERT_EQ(update.hosts.size(), 2U);
+    ASSERT_EQ(update.members.size(), 2U);
     EXPECT_FALSE(update.full);
-    EXPECT_EQ(update.hosts[0].zone, "");
-    EXPECT_EQ(update.hosts[0].weight, 1.0);
-    EXPECT_EQ(update.hosts[0].availability, Availability::Ready);
-    EXPECT_EQ(update.hosts[1].availability, Availability::Gone);
+    EXPECT_EQ(update.members[0].entry.zone, "");
+    EXPECT_EQ(update.members[0].entry.weight, 1.0);
+    EXPECT_EQ(update.members[0].entry.availability, Availability::Ready);
+    EXPECT_EQ(update.members[1].entry.availability, Availability::Gone);
 }
 
 TEST(MembershipUpdate, RejectsWhatItCannotRead) {
