--- a/src/membership/call_policy.cpp
+++ b/src/membership/call_policy.cpp
@@ -60,7 +60,7 @@
             // What it misses has been on its way for the whole silence: no more time is given away.
             return {Micros{0}, !soundWatch};
         case CallFailure::WatchEnded:
-            if (soundWatch) return {upTo(std::min(kSpreadPerNode * fleetSize_, kLongestSpread)), true};
+            if (soundWatch) return {spread(), true};
             return {overloadPause(), true};
         case CallFailure::Unreachable:
             return {upTo(kOutageBackoff), true};
@@ -81,7 +81,7 @@
 
 Micros CallPolicy::pauseAfterMove() {
     if (pushGrace_) return Micros{0};
-    return upTo(std::min(kSpreadPerNode * fleetSize_, kLongestSpread));
+    return spread();
 }
 
 Micros CallPolicy::connectLimit() const {
@@ -107,6 +107,11 @@
     return std::max(kShortestPause, Micros{static_cast<Micros::rep>(drawn)});
 }
 
+// All nodes call at once: each in a moment of its own.
+Micros CallPolicy::spread() {
+    return upTo(std::min(kSpreadPerNode * fleetSize_, kLongestSpread));
+}
+
 // Exponential back-off with full jitter.
 Micros CallPolicy::overloadPause() {
     const Micros window = kFirstBackoff * (1U << std::min(refusals_, kMostDoublings));
--- a/src/membership/call_policy.hpp
+++ b/src/membership/call_policy.hpp
@@ -70,6 +70,7 @@
     static constexpr std::size_t kWaitsRemembered = 8;
 
     Micros upTo(Micros most);
+    Micros spread();
     Micros overloadPause();
     Retry pushedRetry(const CallEnd& end);
     void rememberWait(Micros waited);
