--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -149,6 +149,20 @@
     EXPECT_EQ(pair.client.line(), "(end)");
 }
 
+// Cut off at the length of a line, it is an attempt that failed.
+TEST(Node, TriesAgainWhereTheHostAnswersWithALineWithoutEnd) {
+    ToyHost host;
+    Node node{with(host)};
+    Wire client = node.client(newOpening());
+    auto first = host.next();
+    first.wire.say(std::string(5000, 'x'));
+    auto second = host.next();
+    expectOver(first.wire);
+    second.wire.say("UP r2\r\n");
+    EXPECT_EQ(client.line(), "UP r2");
+    EXPECT_EQ(node.counter("attempts"), 2);
+}
+
 // What never ran is tried at another host, whatever the class.
 TEST(Node, TriesAnotherHostWhereNothingCanHaveRun) {
     ToyHost one;
@@ -573,6 +587,43 @@
     EXPECT_EQ(node.counter("crowded"), 0);
 }
 
+// To read the file, and for the call at the new address, it needs descriptors beside those of its clients.
+TEST(Node, TakesANewConfigurationWhileClientsFillItsDescriptors) {
+    ToyHost host;
+    ToyDiscovery second;
+    Node::Options options = with(host);
+    options.sockets = 64;
+    options.descriptors = 64;
+    Node node{options};
+    std::vector<Pair> pairs;
+    while (node.counter("crowded") == 0) {
+        Wire client = node.client(newOpening());
+        awaitEither(host, client);
+        if (host.idle()) break;
+        auto opened = host.next();
+        opened.wire.say("UP r1\r\n");
+        EXPECT_EQ(client.line(), "UP r1");
+        pairs.push_back({std::move(client), std::move(opened.wire)});
+    }
+    std::vector<Wire> idle;
+    for (int i = 0; i < 200; ++i) {
+        idle.push_back(node.client());
+    }
+    EXPECT_GE(node.counter("crowded"), 1);
+    options.discovery = second.address();
+    node.reload(options);
+    node.logged("configuration read again");
+    auto watch = second.next();
+    watch.begin();
+    watch.line(R"({"version":50,"full":false,"servers":[]})");
+    while (node.counter("list_changes") == 0) {
+    }
+    for (Pair& pair : pairs) {
+        pair.client.say("x\r\n");
+        EXPECT_EQ(pair.host.line(), "x") << "what is up stays up";
+    }
+}
+
 // Clients that wait for a host while discovery is down hold a descriptor now and another one once there is a
 // host.
 TEST(Node, HasDescriptorsForAllThatWaitOnceDiscoveryIsBack) {
