A lost call after refusals is made up for within 6 s; a pushed list is called as before

After refusals in a row up to 2.5 s of pause and 4.5 s until the next call came to 7 s where the first call that discovery takes is lost (by the constants; found by checking the terms of acceptance one by one). The longer wait has what the pause has left of the 6 s. Where the list is pushed a call that is not answered was repeated after 3.25 s in place of 2.6 s. After a move to another discovery nothing of the old one counts.

--- a/src/membership/call_policy.cpp
+++ b/src/membership/call_policy.cpp
@@ -41,9 +41,11 @@
 
 constexpr Micros kShortestPause = 10ms;
 constexpr Micros kPushedBackoff = 300ms;
+constexpr Micros kPushedAnswerLimit = 2600ms;
 
-// After the longest pause a call is still answered before a change counts as known.
-static_assert(kLongestBackoff + kAssumedWait + kMargin <= kKnownWithin);
+// After the longest pause a call is answered before a change counts as known; and if it is lost, so is the
+// one beside it where nothing is queued any more.
+static_assert(kLongestBackoff + (kAssumedWait + kMargin) + kMargin <= kKnownWithin);
 
 }  // namespace
 
@@ -79,7 +81,10 @@
     return {overloadPause(), true};
 }
 
+// What was learned of the old address says nothing of the new one.
 Micros CallPolicy::pauseAfterMove() {
+    refusals_ = 0;
+    waits_ = {};
     if (pushGrace_) return Micros{0};
     return spread();
 }
@@ -92,10 +97,15 @@
 // discovery that may be loaded, and one that takes an answer for all calls of its caller drops the first from
 // the queue when it refuses the second.
 //
-// After a refusal the queue is known to be full: then a slow answer is likelier than a lost one.
+// After a refusal the queue is known to be full: then a slow answer is likelier than a lost one, and the call
+// is given as much time as the pause before it has left of the time in which a change counts as known. The
+// sender of a pushed list has no queue.
 Micros CallPolicy::additionalCallAfter() const {
-    const bool overloaded = refusals_ > 0;
-    return longestWait() + (overloaded ? longestWait() / 2 : kMargin);
+    if (pushGrace_) return kPushedAnswerLimit;
+    const Micros likelyLost = longestWait() + kMargin;
+    if (refusals_ == 0) return likelyLost;
+    const Micros timeLeft = kKnownWithin - kMargin - lastOverloadPause_;
+    return std::max(likelyLost, std::min(longestWait() + longestWait() / 2, timeLeft));
 }
 
 Micros CallPolicy::keepUnansweredFor() const {
@@ -116,7 +126,8 @@
 Micros CallPolicy::overloadPause() {
     const Micros window = kFirstBackoff * (1U << std::min(refusals_, kMostDoublings));
     ++refusals_;
-    return upTo(std::min(window, longestBackoff()));
+    lastOverloadPause_ = upTo(std::min(window, longestBackoff()));
+    return lastOverloadPause_;
 }
 
 // What the sender of a pushed list has counts at every moment: a watch that ends is opened anew at once, and
--- a/src/membership/call_policy.hpp
+++ b/src/membership/call_policy.hpp
@@ -81,6 +81,7 @@
     std::uint32_t fleetSize_ = 1;
     std::optional<Micros> pushGrace_;
     unsigned refusals_ = 0;  // in a row, since a watch was open
+    Micros lastOverloadPause_{0};
     std::array<Micros, kWaitsRemembered> waits_{};
     std::size_t nextWait_ = 0;
 };
--- a/tests/call_policy_test.cpp
+++ b/tests/call_policy_test.cpp
@@ -157,6 +157,30 @@
     EXPECT_GT(policy.keepUnansweredFor(), 2 * policy.additionalCallAfter());
 }
 
+// Discovery has room again, and the first call that it takes is lost.
+TEST(CallPolicy, ARefusalAndThenALostCallFitIntoTheTimeOnAnIdleDiscovery) {
+    constexpr Micros kAnswer = 200ms;
+    for (int seed = 0; seed < kSeeds; ++seed) {
+        CallPolicy policy{static_cast<std::uint64_t>(seed)};
+        for (int i = 0; i < 8; ++i) {
+            const Micros pause = policy.retryAfter(refused()).pause;
+            EXPECT_LE(pause + policy.additionalCallAfter() + kAnswer, kKnownWithin);
+        }
+    }
+}
+
+TEST(CallPolicy, AnotherDiscoveryIsCalledAsIfNothingHadFailed) {
+    CallPolicy policy{7};
+    const Micros unloaded = policy.additionalCallAfter();
+    for (int i = 0; i < 8; ++i) {
+        policy.retryAfter(refused());
+    }
+    policy.answered(5s);
+    EXPECT_LE(policy.pauseAfterMove(), 10ms);
+    EXPECT_EQ(policy.additionalCallAfter(), unloaded);
+    EXPECT_LE(policy.retryAfter(refused()).pause, 500ms);
+}
+
 // Discovery is loaded: a slow answer is likelier than a lost one, and another call would add to the load.
 TEST(CallPolicy, AfterARefusalACallIsGivenMoreTimeBeforeAnotherOneIsMade) {
     CallPolicy policy{7};
@@ -201,6 +225,7 @@
         EXPECT_LE(policy.retryAfter(refused()).pause, 50ms);
         EXPECT_LE(policy.retryAfter({CallFailure::WatchEnded, 1ms, 5ms}).pause, 50ms);
         EXPECT_EQ(policy.pauseAfterMove(), 0ms);
+        EXPECT_LE(policy.additionalCallAfter(), 2600ms);
     }
 }
 
