Tests for the spread after a move, remembered waits and the connect limit

Three changes of the membership watcher broke no test: - a first call at another discovery that is made at once, not after the pause that spreads a fleet, - a call policy that is not told how long an answer took, - a connection that is given up only when its answer is overdue. The policy itself was tested, but not that the watcher uses it. Two tests in virtual time cover the first two. The third is told by the number of calls: the connection is given up before another call is made beside it. Each fails with its change and passes without; none measures time on the machine's clock.

--- a/tests/discovery_load_test.cpp
+++ b/tests/discovery_load_test.cpp
@@ -229,6 +229,48 @@
     }));
 }
 
+// ---- what the watcher asks of its call policy ----
+
+constexpr FleetLoad kSomeOfAFleet{32, 4s};
+constexpr std::uint32_t kNodesOfTheFleet = 350;
+constexpr Micros kLeastSpread = 250ms;  // of the 500 ms over which the first calls are drawn
+constexpr Micros kSlowAnswer = 5s;      // longer than a call usually waits before another one is made
+
+TEST(CallTimingTest, TheFirstCallsAtAnotherDiscoveryAreSpread) {
+    DiscoveryLoad load{kSomeOfAFleet};
+    EXPECT_TRUE(load.play([](DiscoveryLoad& l) -> Task<void> {
+        OverloadedDiscovery& other = l.otherDiscovery();
+        other.start();
+        for (const auto& follower : l.fleet().followers()) {
+            follower->watcher().setFleetSize(kNodesOfTheFleet);
+        }
+        co_await l.bringUp();
+        l.fleet().moveTo(other.address());
+        co_await l.until([&] { return other.counts().offered >= kSomeOfAFleet.followers; });
+        const std::vector<Time>& calls = other.counts().offeredAt;
+        EXPECT_EQ(calls.size(), kSomeOfAFleet.followers);
+        EXPECT_GE(calls.back() - calls.front(), kLeastSpread);
+    }));
+}
+
+TEST(CallTimingTest, AfterASlowAnswerNoOtherCallIsMadeBesideOneThatIsAsSlow) {
+    DiscoveryLoad load{kOneFollower};
+    EXPECT_TRUE(load.play([](DiscoveryLoad& l) -> Task<void> {
+        DiscoveryFaults slow;
+        slow.answerDelay = kSlowAnswer;
+        l.discovery().setFaults(slow);
+        l.discovery().write("server-1", "active");
+        l.fleet().start();
+        co_await l.until([&l] { return l.fleet().allLive(); });
+        EXPECT_EQ(l.first().counters().listAdditionalCalls, 1U) << "nothing told yet how slow it is";
+        co_await l.sleep(kShortWatch);
+        l.discovery().breakWatches();
+        co_await l.untilAllKnow(l.discovery().write("server-1", "leaving"));
+        EXPECT_TRUE(l.fleet().allLive());
+        EXPECT_EQ(l.first().counters().listAdditionalCalls, 1U);
+    }));
+}
+
 // ---- what discovery should not send ----
 
 constexpr Micros kQuietAfterwards = 15s;
--- a/tests/membership_watcher_test.cpp
+++ b/tests/membership_watcher_test.cpp
@@ -297,6 +297,7 @@
     EXPECT_TRUE(f.played([&queued](Fixture& g) -> Task<void> {
         co_await g.until([&g] { return g.counters.listGivenUp >= 1; });
         EXPECT_EQ(g.counters.listRefused, 0U) << "no sign of load";
+        EXPECT_EQ(g.counters.listCalls, 1U) << "before another call is made beside it";
         queued.clear();
         for (int descriptor = -1; g.listener.accept(descriptor) == Socket::Accepting::Taken;) {
             ::close(descriptor);
