--- a/tests/discovery_load_test.cpp
+++ b/tests/discovery_load_test.cpp
@@ -311,6 +311,15 @@
         [](DiscoveryLoad& l) { return playBadAnswer(l, "HTTP/1.1 200 OK\r\nTransfer-Enc", "discovery"); }));
 }
 
+// No message has come: the watch is not open, and nothing is known to be up to date.
+TEST(DiscoveryBadInputTest, AWholeHeaderAndThenSilence) {
+    DiscoveryLoad load{kOneFollower};
+    EXPECT_TRUE(load.play([](DiscoveryLoad& l) {
+        return playBadAnswer(l, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                             "discovery does not answer");
+    }));
+}
+
 TEST(DiscoveryBadInputTest, AnAnswerThatComesAfterTheCallWasGivenUp) {
     DiscoveryLoad load{kOneFollower};
     EXPECT_TRUE(load.play([](DiscoveryLoad& l) -> Task<void> {
