--- a/tests/membership_watcher_test.cpp
+++ b/tests/membership_watcher_test.cpp
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "facade/facade.hpp"
+#include "port_reservation.hpp"
 
 namespace ivyreel::net {
 namespace {
@@ -40,40 +41,13 @@
     Heard& heard_;
 };
 
-// A bound address that takes connections once it is told to.
-class Bound {
-  public:
-    Bound() : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof address;
-        EXPECT_EQ(::bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), size), 0);
-        EXPECT_EQ(::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size), 0);
-        text_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-    }
-    Bound(const Bound&) = delete;
-    Bound& operator=(const Bound&) = delete;
-
-    Address address() const { return *Address::parse(text_); }
-    // The descriptor then belongs to the socket.
-    Socket listen(Signal& signal, int backlog = 16) {
-        EXPECT_EQ(::listen(descriptor_, backlog), 0);
-        return Socket{signal, std::exchange(descriptor_, -1)};
-    }
-
-  private:
-    int descriptor_;
-    std::string text_;
-};
-
 struct Fixture : Surroundings {
     Scheduler scheduler;
     Counters counters;
     Heard heard;
     Facade facade{NodeSettings{}, *this, [this](Settings) { return std::make_unique<HearingRules>(heard); }};
     Hosts hosts{facade, counters};
-    Bound discovery;
+    PortReservation discovery;
     MembershipWatcher watcher{scheduler, facade, hosts, counters, discovery.address(), 7};
     Signal listening{scheduler};
     Socket listener;
@@ -86,7 +60,7 @@
 
     // Discovery takes calls, and one is wanted.
     void watchSound() {
-        listener = discovery.listen(listening);
+        listener = Socket::listenOn(listening, discovery.address());
         watcher.start();
     }
 
@@ -225,7 +199,7 @@
     f.watcher.start();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         co_await g.until([&g] { return g.counters.listFailures >= 1; });  // nobody listens there yet
-        g.listener = g.discovery.listen(g.listening);
+        g.listener = Socket::listenOn(g.listening, g.discovery.address());
         (co_await g.next())->say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
         (co_await g.next())->connection.socket.reset();
         const auto silent = co_await g.next();
@@ -238,7 +212,7 @@
 
 TEST(MembershipWatcher, ACallThatFailsAfterDiscoveryMovedIsMadeAgainAtTheNewAddress) {
     Fixture f;
-    Bound elsewhere;
+    PortReservation elsewhere;
     f.watchSound();
     EXPECT_TRUE(f.played([&elsewhere](Fixture& g) -> Task<void> {
         const auto first = co_await g.next();
@@ -246,7 +220,7 @@
         co_await g.until([&g] { return g.watcher.live(); });
         g.watcher.moveTo(elsewhere.address());
         co_await g.until([&g] { return g.counters.listFailures >= 1; });  // nobody listens there yet
-        g.listener = elsewhere.listen(g.listening);
+        g.listener = Socket::listenOn(g.listening, elsewhere.address());
         const auto moved = co_await g.next();
         moved->beginEmpty();
         co_await g.until([&g] { return g.watcher.live(); });
@@ -285,8 +259,9 @@
 // The path is silent: a queue of connections that is full answers as little as a machine that is cut off.
 TEST(MembershipWatcher, AConnectionThatDoesNotComeUpIsGivenUpAndTriedAgain) {
     Fixture f;
-    f.listener = f.discovery.listen(f.listening, 0);
-    const Address address = *Address::parse(f.listener.local().text());
+    const Address address = f.discovery.address();
+    f.listener = Socket::listenOn(f.listening, address);
+    ASSERT_EQ(::listen(f.listener.descriptor(), 0), 0) << "a queue of one connection";
     Signal others{f.scheduler};
     std::vector<Socket> queued;
     do {
@@ -316,7 +291,7 @@
     f.watcher.start();
     EXPECT_TRUE(f.played([](Fixture& g) -> Task<void> {
         co_await g.until([&g] { return g.counters.listFailures >= 3; });
-        g.listener = g.discovery.listen(g.listening);
+        g.listener = Socket::listenOn(g.listening, g.discovery.address());
         const auto call = co_await g.next();
         call->beginEmpty();
         co_await g.until([&g] { return g.watcher.live(); });
