--- a/tests/discovery_load_test.cpp
+++ b/tests/discovery_load_test.cpp
@@ -253,6 +253,20 @@
     }));
 }
 
+TEST(CallTimingTest, ACallThatWaitsItsTurnAsLongAsDiscoveryAllowsIsKept) {
+    DiscoveryLoad load{kOneFollower};
+    EXPECT_TRUE(load.play([](DiscoveryLoad& l) -> Task<void> {
+        DiscoveryFaults slow;
+        slow.answerDelay = kWaitingLimit;
+        l.discovery().setFaults(slow);
+        l.discovery().write("server-1", "active");
+        l.fleet().start();
+        co_await l.until([&l] { return l.fleet().allLive(); });
+        EXPECT_EQ(l.discovery().counts().offered, 1U);
+        EXPECT_EQ(l.first().counters().listGivenUp, 0U);
+    }));
+}
+
 TEST(CallTimingTest, AfterASlowAnswerNoOtherCallIsMadeBesideOneThatIsAsSlow) {
     DiscoveryLoad load{kOneFollower};
     EXPECT_TRUE(load.play([](DiscoveryLoad& l) -> Task<void> {
