Request ids in use at either process of an upgrade do not expire

Cause: RecentRequestIds kept known ids in a set and ends in a queue, and an expiring entry of the queue erased its id from the set whether or not it was in use. The successor imported all ids of the predecessor as ended at its start; open(), for a transferred connection, left the entry in the queue. The same lines forgot all but 4,096 ids of a large node at once, and the id of a request that stays at the predecessor for over 10 s.

Why this fix works: an id expires 10 s after its last user has ended. Users are the open requests of this node and, until the link closes, the other process of the hot restart. The format of the state is unchanged.

RecentRequestIds.IdsOfAnotherNodeCountAsEndedNow demanded the faulty rule (an id of the predecessor is unknown 11 s after the import, though its request may be open there).

--- a/src/hot_restart/handover.cpp
+++ b/src/hot_restart/handover.cpp
@@ -28,9 +28,7 @@
 
 // The link to one peer node and the state of that peer. It is in Handover::sessions_ throughout its lifetime.
 struct Handover::Session {
-    enum class Peer { Predecessor, Successor };
-
-    Session(Handover& handover, int descriptor, Peer role)
+    Session(Handover& handover, int descriptor, HandoverPeer role)
         : sessions(handover.sessions_), link(handover.scheduler_, descriptor), peer(role) {
         position = sessions.insert(sessions.end(), this);
     }
@@ -48,7 +46,7 @@
     std::list<Session*>& sessions;
     std::list<Session*>::iterator position;
     HandoverLink link;
-    Peer peer;
+    HandoverPeer peer;
     std::string adminAddress;             // of a successor's admin server
     bool successorIsServing = false;      // the peer has sent its ServingNotice
     std::size_t reportedDescriptors = 0;  // the last count that was sent to a successor
@@ -95,7 +93,7 @@
 // ---- as predecessor ----
 
 Task<void> Handover::serveSuccessor(int descriptor) {
-    Session session{*this, descriptor, Session::Peer::Successor};
+    Session session{*this, descriptor, HandoverPeer::Successor};
     const std::optional<std::string> line = co_await receiveRequest(session.link);
     if (!line) co_return;
     const std::optional<HandoverRequest> request = HandoverRequest::parse(*line);
@@ -111,6 +109,7 @@
     spdlog::info("hot restart: this node has handed over its state to the successor");
     co_await exchangeMessages(session);
     stateHandedOver_ = false;
+    delegate_.onLinkClosed(HandoverPeer::Successor);
     if (session.successorIsServing) resumeServing(session);
     signal_.raise();
 }
@@ -172,11 +171,11 @@
 // ---- as successor ----
 
 Task<void> Handover::exchangeWithPredecessor(int descriptor) {
-    Session session{*this, descriptor, Session::Peer::Predecessor};
+    Session session{*this, descriptor, HandoverPeer::Predecessor};
     if (serving_) session.link.queue(encode(ServingNotice{}));  // serve() ran before this session was listed
     co_await exchangeMessages(session);
     spdlog::info("hot restart: the link to the predecessor is closed");
-    delegate_.onPredecessorDescriptorCount(0);
+    delegate_.onLinkClosed(HandoverPeer::Predecessor);
 }
 
 void Handover::notifyServing() {
@@ -189,7 +188,7 @@
 // Sends and handles messages until the peer closes the link or sends an overlong message.
 Task<void> Handover::exchangeMessages(Session& session) {
     HandoverLink& link = session.link;
-    const bool reports = session.peer == Session::Peer::Successor;
+    const bool reports = session.peer == HandoverPeer::Successor;
     for (;;) {
         link.receive();
         while (const std::optional<std::string> line = link.nextMessage()) {
@@ -230,14 +229,14 @@
 }
 
 void Handover::handle(Session& session, const ServingNotice& /*notice*/) {
-    if (session.peer != Session::Peer::Successor) return;
+    if (session.peer != HandoverPeer::Successor) return;
     session.successorIsServing = true;
     stopListening();
     delegate_.onSuccessorServing(true, session.adminAddress);
 }
 
 void Handover::handle(Session& session, const DescriptorCount& count) {
-    if (session.peer == Session::Peer::Predecessor) delegate_.onPredecessorDescriptorCount(count.count);
+    if (session.peer == HandoverPeer::Predecessor) delegate_.onPredecessorDescriptorCount(count.count);
 }
 
 void Handover::handle(Session& session, const BanNotice& notice) {
@@ -253,7 +252,7 @@
 // Takes the descriptors before it parses the content: an invalid transfer that left its descriptors on the
 // link would have them assigned to the next transfer.
 void Handover::handle(Session& session, const ConnectionTransfer& transfer) {
-    if (session.peer != Session::Peer::Predecessor) return;
+    if (session.peer != HandoverPeer::Predecessor) return;
     UniqueDescriptor client{session.link.takeDescriptor()};
     UniqueDescriptor endpoint{session.link.takeDescriptor()};
     EstablishedConnection connection = transfer.parse();
--- a/src/hot_restart/handover.hpp
+++ b/src/hot_restart/handover.hpp
@@ -19,6 +19,7 @@
 #include "hot_restart/handover_address.hpp"
 #include "hot_restart/handover_link.hpp"
 #include "hot_restart/handover_messages.hpp"
+#include "hot_restart/handover_peer.hpp"
 #include "io/scheduler.hpp"
 
 namespace ivyreel {
@@ -42,8 +43,10 @@
     // True: the successor, whose admin server is at `adminAddress`, serves clients. False: the successor has
     // exited, and this node resumes serving.
     virtual void onSuccessorServing(bool serves, const std::string& adminAddress) = 0;
-    // The predecessor has this many descriptors open; 0 means that it has exited.
+    // The predecessor has this many descriptors open.
     virtual void onPredecessorDescriptorCount(std::size_t descriptors) = 0;
+    // The link to the peer is closed: the peer has exited.
+    virtual void onLinkClosed(HandoverPeer peer) = 0;
     // An operator has banned an endpoint at the other node, or lifted its ban there.
     virtual void onBanChanged(EndpointId endpoint, bool banned) = 0;
     // The other node has received the signal to reload the configuration.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -258,6 +258,12 @@
     applyDescriptorLimits();
 }
 
+void Node::onLinkClosed(HandoverPeer peer) {
+    if (peer != HandoverPeer::Predecessor) return;
+    onPredecessorDescriptorCount(0);
+    proxyServer_.endPredecessorRequests();
+}
+
 void Node::onBanChanged(EndpointId endpoint, bool banned) {
     tracker_.applyOperatorBan(endpoint, banned);
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -56,6 +56,7 @@
     std::size_t openDescriptorCount() const override;
     void onSuccessorServing(bool serves, const std::string& adminAddress) override;
     void onPredecessorDescriptorCount(std::size_t descriptors) override;
+    void onLinkClosed(HandoverPeer peer) override;
     void onBanChanged(EndpointId endpoint, bool banned) override;
     void onReload() override;
     void adopt(const EstablishedConnection& connection) override { proxyServer_.adopt(connection); }
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -18,6 +18,7 @@
 #include "proxy/endpoint_connector.hpp"
 #include "proxy/graceful_shutdown.hpp"
 #include "proxy/opening_reader.hpp"
+#include "proxy/peer_request_ids.hpp"
 #include "proxy/recent_request_ids.hpp"
 #include "proxy/request_session.hpp"
 #include "proxy/unopened_connections.hpp"
@@ -49,10 +50,10 @@
 
     // The ids of the requests that are open or have ended recently.
     std::vector<std::uint64_t> requestIds() const { return recentRequestIds_.all(); }
-    // Adds the request ids of the predecessor.
-    void importRequestIds(const std::vector<std::uint64_t>& ids) {
-        recentRequestIds_.addEnded(ids, scheduler_.now());
-    }
+    // Adds the request ids of the predecessor, which stay known for as long as the predecessor may use them.
+    void importRequestIds(const std::vector<std::uint64_t>& ids) { predecessorRequestIds_.add(ids); }
+    // The predecessor has exited: its requests that were not transferred to this node have ended.
+    void endPredecessorRequests() { predecessorRequestIds_.clear(); }
     // The number of open requests.
     std::size_t openRequestCount() const { return recentRequestIds_.openCount(); }
 
@@ -74,6 +75,7 @@
     SessionContext sessionContext_;
     ClientResponses responses_;
     RecentRequestIds recentRequestIds_;
+    PeerRequestIds predecessorRequestIds_;
     UnopenedConnections unopened_;
     DescriptorBudget descriptors_;
     OpeningReader openingReader_;
--- a/src/proxy/recent_request_ids.cpp
+++ b/src/proxy/recent_request_ids.cpp
@@ -15,31 +15,54 @@
 
 void RecentRequestIds::open(std::uint64_t id) {
     ++openCount_;
-    ids_.insert(id);
+    hold(id);
 }
 
 void RecentRequestIds::close(std::uint64_t id, Time now) {
     --openCount_;
-    ended_.push_back({now, id});
+    release(id, now);
 }
 
-void RecentRequestIds::addEnded(const std::vector<std::uint64_t>& ids, Time now) {
-    for (const std::uint64_t id : ids) {
-        if (ids_.insert(id).second) ended_.push_back({now, id});
-    }
+void RecentRequestIds::hold(std::uint64_t id) {
+    ++usages_[id].users;
+}
+
+void RecentRequestIds::release(std::uint64_t id, Time now) {
+    Usage& usage = usages_.at(id);
+    --usage.users;
+    if (usage.users > 0) return;
+    usage.endedAt = now;
+    ended_.push_back({now, id});
 }
 
 bool RecentRequestIds::isKnown(std::uint64_t id, Time now) {
     removeExpired(now);
-    return ids_.contains(id);
+    return usages_.contains(id);
+}
+
+std::vector<std::uint64_t> RecentRequestIds::all() const {
+    std::vector<std::uint64_t> ids;
+    ids.reserve(usages_.size());
+    for (const auto& [id, usage] : usages_) {
+        ids.push_back(id);
+    }
+    return ids;
 }
 
 void RecentRequestIds::removeExpired(Time now) {
     const Time oldestKept = now - kRetentionAfterEnd;
     while (!ended_.empty() && (ended_.front().endedAt < oldestKept || ended_.size() > kMaxEndedIds)) {
-        ids_.erase(ended_.front().id);
+        remove(ended_.front());
         ended_.pop_front();
     }
 }
 
+// Forgets the id unless it has been in use since this end.
+void RecentRequestIds::remove(const EndedId& ended) {
+    const auto found = usages_.find(ended.id);
+    if (found == usages_.end()) return;
+    const Usage& usage = found->second;
+    if (usage.users == 0 && usage.endedAt == ended.endedAt) usages_.erase(found);
+}
+
 }  // namespace ivyreel
--- a/src/proxy/recent_request_ids.hpp
+++ b/src/proxy/recent_request_ids.hpp
@@ -4,44 +4,51 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 #include "io/scheduler.hpp"
 
 namespace ivyreel {
 
-// Counts the open requests, and keeps the id of each request for a while after the request has ended. A
-// request is open from its opening line to the end of its connection. Every connection has a new id, so an
-// opening line with a known id is a copy.
+// Counts the open requests of this node, and keeps the id of each request until 10 s after the request has
+// ended. A request is open from its opening line to the end of its connection. Every connection has a new id,
+// so an opening line with a known id is a copy.
+//
+// Invariant: an id that is in use never expires, whether a request of this node uses it or a request of the
+// other process of a hot restart (peer_request_ids.hpp).
 class RecentRequestIds {
   public:
+    // A request of this node has opened or ended.
     void open(std::uint64_t id);
     void close(std::uint64_t id, Time now);
-    // Adds the ids of another node's requests as ended at `now`, including those of requests that are open at
-    // the other node. Ids that are known already stay unchanged. If open() is called later for an id that was
-    // added here, the id still expires like that of an ended request, even while its request is open.
-    void addEnded(const std::vector<std::uint64_t>& ids, Time now);
+    // Begins and ends the use of an id by another process. Every hold() needs one release().
+    void hold(std::uint64_t id);
+    void release(std::uint64_t id, Time now);
 
-    // Whether a request with this id is open or has ended recently; addEnded() describes an exception.
-    // Removes expired ids.
+    // Whether the id is in use or has been in use recently. Removes expired ids.
     bool isKnown(std::uint64_t id, Time now);
     // All known ids, in unspecified order.
-    std::vector<std::uint64_t> all() const { return {ids_.begin(), ids_.end()}; }
-    // The number of open requests.
+    std::vector<std::uint64_t> all() const;
+    // The number of open requests of this node.
     std::size_t openCount() const { return openCount_; }
 
   private:
-    struct EndedRequest {
+    struct Usage {
+        std::size_t users = 0;  // open requests of this node, and other processes that hold the id
+        Time endedAt{0};        // when the last user ended; meaningless while there is one
+    };
+    struct EndedId {
         Time endedAt{0};
         std::uint64_t id = 0;
     };
 
     void removeExpired(Time now);
+    void remove(const EndedId& ended);
 
     std::size_t openCount_ = 0;
-    std::unordered_set<std::uint64_t> ids_;  // known: of open requests, and of those in ended_
-    std::deque<EndedRequest> ended_;         // requests that ended or were added recently, oldest first
+    std::unordered_map<std::uint64_t, Usage> usages_;  // of all known ids
+    std::deque<EndedId> ended_;  // oldest first; an entry is obsolete if its id is in use again
 };
 
 // Marks a request as open from the construction to the destruction of this object.
--- a/tests/recent_request_ids_test.cpp
+++ b/tests/recent_request_ids_test.cpp
@@ -34,14 +34,44 @@
     EXPECT_EQ(ids.all().size(), 4096U);
 }
 
-TEST(RecentRequestIds, IdsOfAnotherNodeCountAsEndedNow) {
+// Guards against a second run of an unsafe request: an id that had ended and is in use again was forgotten
+// 10 s after its first end.
+TEST(RecentRequestIds, AnIdThatIsInUseAgainDoesNotExpire) {
     RecentRequestIds ids;
     ids.open(7);
-    ids.addEnded({7, 8}, 20s);
-    EXPECT_EQ(ids.openCount(), 1U);
-    EXPECT_TRUE(ids.isKnown(8, 30s));
-    EXPECT_FALSE(ids.isKnown(8, 31s));
-    EXPECT_TRUE(ids.isKnown(7, 31s)) << "the request is still open at this node";
+    ids.close(7, 100s);
+    ids.open(7);
+    EXPECT_TRUE(ids.isKnown(7, 1000s));
+    ids.close(7, 1000s);
+    EXPECT_TRUE(ids.isKnown(7, 1010s));
+    EXPECT_FALSE(ids.isKnown(7, 1010s + 1us));
+}
+
+TEST(RecentRequestIds, AnIdIsKnownUntilTenSecondsAfterItsLastUserHasEnded) {
+    RecentRequestIds ids;
+    ids.open(7);
+    ids.hold(7);
+    ids.close(7, 100s);
+    EXPECT_EQ(ids.openCount(), 0U);
+    EXPECT_TRUE(ids.isKnown(7, 200s)) << "another process uses it";
+    ids.open(7);
+    ids.release(7, 200s);
+    EXPECT_TRUE(ids.isKnown(7, 300s)) << "a request of this node uses it";
+    ids.close(7, 300s);
+    EXPECT_TRUE(ids.isKnown(7, 310s));
+    EXPECT_FALSE(ids.isKnown(7, 310s + 1us));
+    EXPECT_TRUE(ids.all().empty());
+}
+
+TEST(RecentRequestIds, OpenIdsDoNotCountTowardsTheLimitOfEndedIds) {
+    RecentRequestIds ids;
+    for (std::uint64_t id = 0; id < 10'000; ++id) {
+        ids.open(id);
+    }
+    for (std::uint64_t id = 0; id < 10'000; ++id) {
+        EXPECT_TRUE(ids.isKnown(id, 1s)) << id;
+    }
+    EXPECT_EQ(ids.all().size(), 10'000U);
 }
 
 }  // namespace
