Tests of hot restart share the stubs of both processes

The directory, the fake predecessor and the raw successor of hot_restart_test.cpp move to fake_handover_peers.hpp, for the tests that follow. The successor of PredecessorKeepsServingIfTheSuccessorExitsBeforeItServes becomes FakeSuccessor and sends the same bytes. No check changed: 8 of 8 tests of HotRestart pass.

--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -1,44 +1,19 @@
 // Hot restart with real processes: a successor replaces a running node.
 #include <gtest/gtest.h>
-#include <sys/un.h>
 
 #include <atomic>
-#include <cstring>
 #include <filesystem>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "fake_handover_peers.hpp"
 #include "node_harness.hpp"
 
 namespace ivyreel::test {
 namespace {
 
-// The directory (TMPDIR) through which a successor finds its predecessor.
-class SharedDirectory {
-  public:
-    explicit SharedDirectory(const std::string& name = "hot_restart")
-        : path_(testing::TempDir() + "ivyreel_" + name + "_" + std::to_string(::getpid())) {
-        std::filesystem::create_directories(path_);
-    }
-    SharedDirectory(const SharedDirectory&) = delete;
-    SharedDirectory& operator=(const SharedDirectory&) = delete;
-    ~SharedDirectory() { std::filesystem::remove_all(path_); }
-    const std::string& path() const { return path_; }
-    bool hasSocketFile() const { return std::filesystem::exists(path_ + "/ivyreel-n0.sock"); }
-
-  private:
-    std::string path_;
-};
-
-NodeProcess::Options restartOptions(const StubServer& server, const SharedDirectory& directory) {
-    NodeProcess::Options options = optionsFor(server);
-    options.adminServer = true;
-    options.directory = directory.path();
-    return options;
-}
-
 void awaitSuccess(const NodeProcess& node, const std::string& path) {
     while (node.adminRequest("GET", path).first != 200) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -120,15 +95,8 @@
     EstablishedPair before = establishConnection(predecessor, server);
     {
         // A successor that requests the state and then closes the link without serving.
-        sockaddr_un address{};
-        address.sun_family = AF_UNIX;
-        const std::string path = directory.path() + "/ivyreel-n0.sock";
-        ASSERT_LT(path.size(), sizeof address.sun_path);
-        std::copy(path.begin(), path.end(), address.sun_path);
-        const int peer = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        ASSERT_EQ(::connect(peer, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
-        TestConnection link{peer};
-        link.send("{\"successor\":1,\"listen\":\"127.0.0.1:0\"}\n");
+        FakeSuccessor successor{directory};
+        successor.sendRequest();
         predecessor.awaitLogLine("handed over");
     }
     for (int i = 0; i < 5; ++i) {
@@ -232,64 +200,6 @@
     EXPECT_EQ(node->stop(), 0) << node->remainingLog();
 }
 
-// A predecessor that implements only the handover protocol.
-class FakePredecessor {
-  public:
-    explicit FakePredecessor(const SharedDirectory& directory)
-        : listener_(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-        sockaddr_un address{};
-        address.sun_family = AF_UNIX;
-        std::snprintf(address.sun_path, sizeof address.sun_path, "%s/ivyreel-n0.sock",
-                      directory.path().c_str());
-        EXPECT_EQ(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
-        EXPECT_EQ(::listen(listener_, 1), 0);
-    }
-    FakePredecessor(const FakePredecessor&) = delete;
-    FakePredecessor& operator=(const FakePredecessor&) = delete;
-    ~FakePredecessor() {
-        ::close(link_);
-        ::close(listener_);
-    }
-
-    void acceptRequest() {
-        link_ = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-        char request[4096];
-        EXPECT_GT(::recv(link_, request, sizeof request, 0), 0);
-    }
-    // Sends a message with descriptors, which the peer owns from then on.
-    void send(std::string text, const std::vector<int>& descriptors) const {
-        alignas(cmsghdr) char control[CMSG_SPACE(2 * sizeof(int))] = {};
-        iovec data{text.data(), text.size()};
-        msghdr message{};
-        message.msg_iov = &data;
-        message.msg_iovlen = 1;
-        message.msg_control = control;
-        message.msg_controllen = CMSG_SPACE(descriptors.size() * sizeof(int));
-        cmsghdr* descriptorRecord = CMSG_FIRSTHDR(&message);
-        descriptorRecord->cmsg_level = SOL_SOCKET;
-        descriptorRecord->cmsg_type = SCM_RIGHTS;
-        descriptorRecord->cmsg_len = CMSG_LEN(descriptors.size() * sizeof(int));
-        std::memcpy(CMSG_DATA(descriptorRecord), descriptors.data(), descriptors.size() * sizeof(int));
-        EXPECT_EQ(::sendmsg(link_, &message, MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
-        for (const int descriptor : descriptors) {
-            ::close(descriptor);
-        }
-    }
-    // Transfers a connection with this message. Returns the other ends of its sockets.
-    EstablishedPair transfer(const std::string& message) const {
-        int client[2];
-        int server[2];
-        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, client), 0);
-        EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0, server), 0);
-        send(message, {client[1], server[1]});
-        return {TestConnection{client[0]}, TestConnection{server[0]}};
-    }
-
-  private:
-    int listener_;
-    int link_ = -1;
-};
-
 // Guards against assigning the descriptors of a malformed transfer to the next transfer: the descriptors stay
 // on the link unless the node takes them before it parses the message.
 TEST(HotRestart, NextTransferDoesNotGetTheDescriptorsOfAMalformedOne) {
@@ -301,11 +211,7 @@
     std::optional<EstablishedPair> valid;
     std::thread predecessorThread([&] {
         predecessor.acceptRequest();
-        const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-        const sockaddr_in address = loopback(0);
-        EXPECT_EQ(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
-        EXPECT_EQ(::listen(listener, 16), 0);
-        predecessor.send("{}\n", {listener});
+        predecessor.sendUnusableState();
         const std::string fields = R"(,"host":1,"from_client":"","from_host":"","to_host":0,"to_client":0,)"
                                    R"("unanswered":9223372036854775807})"
                                    "\n";
