Both processes of an upgrade know the ids of each other's open requests

What callers saw: during an upgrade, a copy of a request that had opened after the predecessor had handed over its state was served by the successor, and a copy of a request of the successor by the predecessor. An unsafe request ran a second time.

Cause: ids were handed over once, with the state. The predecessor accepts until the successor serves (up to 1.5 s) and reads opening lines for 2 s more; those ids reached the successor with the transfer of the connection, after SIGTERM. The predecessor was told no id at all.

Fix: a RequestNotice over the link when a request opens and when the last one with its id has ended. The receiver holds the id for the sender until the notice of its end or the end of the link. The message is new; a version that does not know it ignores it. State and other messages are unchanged (golden files).

--- a/src/hot_restart/handover.cpp
+++ b/src/hot_restart/handover.cpp
@@ -211,6 +211,10 @@
     broadcast(encode(BanNotice{endpoint, banned}));
 }
 
+void Handover::notifyRequest(std::uint64_t id, bool open) {
+    if (!sessions_.empty()) broadcast(encode(RequestNotice{id, open}));
+}
+
 void Handover::notifyReload() {
     broadcast(encode(ReloadNotice{}));
 }
@@ -244,6 +248,12 @@
     broadcast(encode(notice), &session);
 }
 
+// A notice of the predecessor is not passed on to a successor of this node: that successor receives all ids
+// that this node knows with the state, and the predecessor accepts no more connections by then.
+void Handover::handle(Session& session, const RequestNotice& notice) {
+    delegate_.onPeerRequest(session.peer, notice);
+}
+
 void Handover::handle(Session& session, const ReloadNotice& notice) {
     delegate_.onReload();
     broadcast(encode(notice), &session);
--- a/src/hot_restart/handover.hpp
+++ b/src/hot_restart/handover.hpp
@@ -3,11 +3,12 @@
 //
 // The successor sends a HandoverRequest (predecessor_state.hpp); the predecessor answers with its state and
 // its listening sockets. Both keep the link open and exchange messages (handover_messages.hpp): bans,
-// reloads, counts of open descriptors, connection transfers, and the notice that the successor serves
-// clients. docs/daily-service.md lists the order of events.
+// reloads, ids of requests, counts of open descriptors, connection transfers, and the notice that the
+// successor serves clients. docs/daily-service.md lists the order of events.
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <optional>
 #include <string>
@@ -49,6 +50,8 @@
     virtual void onLinkClosed(HandoverPeer peer) = 0;
     // An operator has banned an endpoint at the other node, or lifted its ban there.
     virtual void onBanChanged(EndpointId endpoint, bool banned) = 0;
+    // A request of the peer has opened or ended.
+    virtual void onPeerRequest(HandoverPeer peer, const RequestNotice& notice) = 0;
     // The other node has received the signal to reload the configuration.
     virtual void onReload() = 0;
     // Takes over an established connection of the predecessor, with its descriptors.
@@ -78,6 +81,9 @@
     void notifyServing();
     // Notifies the other nodes that an operator has banned an endpoint here, or lifted its ban.
     void notifyBan(EndpointId endpoint, bool banned);
+    // Notifies the other nodes that this node has opened a request with this id, or that its last request
+    // with this id has ended.
+    void notifyRequest(std::uint64_t id, bool open);
     // Notifies the other nodes that they are to reload the configuration.
     void notifyReload();
 
@@ -105,6 +111,7 @@
     void handle(Session& session, const ServingNotice& notice);
     void handle(Session& session, const DescriptorCount& count);
     void handle(Session& session, const BanNotice& notice);
+    void handle(Session& session, const RequestNotice& notice);
     void handle(Session& session, const ReloadNotice& notice);
     void handle(Session& session, const ConnectionTransfer& transfer);
 
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -67,6 +67,8 @@
     if (content.contains("holds")) return DescriptorCount{content.at("holds").get<std::size_t>()};
     if (content.contains("ban"))
         return BanNotice{EndpointId{content.at("ban").get<std::uint64_t>()}, content.at("on").get<bool>()};
+    if (content.contains("request"))
+        return RequestNotice{content.at("request").get<std::uint64_t>(), content.at("open").get<bool>()};
     if (content.contains("connection")) return ConnectionTransfer{std::move(content)};
     if (content.contains("reload")) return ReloadNotice{};
     return std::monostate{};
@@ -122,6 +124,10 @@
     return toLine(Json{{"ban", static_cast<std::uint64_t>(notice.endpoint)}, {"on", notice.banned}});
 }
 
+std::string encode(const RequestNotice& notice) {
+    return toLine(Json{{"request", notice.id}, {"open", notice.open}});
+}
+
 std::string encode(const ReloadNotice& /*notice*/) {
     return toLine(Json{{"reload", true}});
 }
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -37,6 +38,12 @@
     bool banned = false;
 };
 
+// The sender has opened a request with this id, or its last request with this id has ended.
+struct RequestNotice {
+    std::uint64_t id = 0;
+    bool open = false;
+};
+
 // The receiver is to reload the configuration file.
 struct ReloadNotice {};
 
@@ -50,8 +57,8 @@
 };
 
 // A received message; std::monostate for a message type that this version does not know.
-using HandoverMessage =
-    std::variant<std::monostate, ServingNotice, DescriptorCount, BanNotice, ConnectionTransfer, ReloadNotice>;
+using HandoverMessage = std::variant<std::monostate, ServingNotice, DescriptorCount, BanNotice, RequestNotice,
+                                     ConnectionTransfer, ReloadNotice>;
 
 // Throws HandoverError if the text is not JSON, or a field is missing or of another type.
 HandoverMessage parseMessage(const std::string& text);
@@ -61,6 +68,7 @@
 std::string encode(const ServingNotice& notice);
 std::string encode(const DescriptorCount& count);
 std::string encode(const BanNotice& notice);
+std::string encode(const RequestNotice& notice);
 std::string encode(const ReloadNotice& notice);
 std::string encode(const EstablishedConnection& connection);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,6 +54,8 @@
                    predecessor ? predecessor->takeListener(kProxyListener) : -1, clientDescriptorLimit()),
       handover_(scheduler_, *this, handoverAddress),
       signals_(scheduler_) {
+    proxyServer_.setRequestObserver(
+        [this](std::uint64_t id, bool open) { handover_.notifyRequest(id, open); });
     applyDescriptorLimits();
     restoreState();
     proxyServer_.setAccepting(false);
@@ -96,7 +98,9 @@
     tracker_.start(known.entries());
     if (inheritedState_) {
         tracker_.importState(inheritedState_->learned);
-        proxyServer_.importRequestIds(inheritedState_->requestIds);
+        for (const std::uint64_t id : inheritedState_->requestIds) {
+            proxyServer_.peerRequestIds(HandoverPeer::Predecessor).add(id);
+        }
     }
 }
 
@@ -259,15 +263,22 @@
 }
 
 void Node::onLinkClosed(HandoverPeer peer) {
-    if (peer != HandoverPeer::Predecessor) return;
-    onPredecessorDescriptorCount(0);
-    proxyServer_.endPredecessorRequests();
+    proxyServer_.peerRequestIds(peer).clear();
+    if (peer == HandoverPeer::Predecessor) onPredecessorDescriptorCount(0);
 }
 
 void Node::onBanChanged(EndpointId endpoint, bool banned) {
     tracker_.applyOperatorBan(endpoint, banned);
 }
 
+void Node::onPeerRequest(HandoverPeer peer, const RequestNotice& notice) {
+    PeerRequestIds& ids = proxyServer_.peerRequestIds(peer);
+    if (notice.open)
+        ids.add(notice.id);
+    else
+        ids.remove(notice.id);
+}
+
 // A file that readConfig() rejects is ignored here: the process that received the signal logs the error. A
 // file that lacks a key of the current configuration is rejected and reported by reload() in both processes.
 void Node::onReload() {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -58,6 +58,7 @@
     void onPredecessorDescriptorCount(std::size_t descriptors) override;
     void onLinkClosed(HandoverPeer peer) override;
     void onBanChanged(EndpointId endpoint, bool banned) override;
+    void onPeerRequest(HandoverPeer peer, const RequestNotice& notice) override;
     void onReload() override;
     void adopt(const EstablishedConnection& connection) override { proxyServer_.adopt(connection); }
 
--- a/src/proxy/peer_request_ids.cpp
+++ b/src/proxy/peer_request_ids.cpp
@@ -2,10 +2,12 @@
 
 namespace ivyreel {
 
-void PeerRequestIds::add(const std::vector<std::uint64_t>& ids) {
-    for (const std::uint64_t id : ids) {
-        if (held_.insert(id).second) ids_.hold(id);
-    }
+void PeerRequestIds::add(std::uint64_t id) {
+    if (held_.insert(id).second) ids_.hold(id);
+}
+
+void PeerRequestIds::remove(std::uint64_t id) {
+    if (held_.erase(id) > 0) ids_.release(id, scheduler_.now());
 }
 
 void PeerRequestIds::clear() {
--- a/src/proxy/peer_request_ids.hpp
+++ b/src/proxy/peer_request_ids.hpp
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <unordered_set>
-#include <vector>
 
 #include "io/scheduler.hpp"
 #include "proxy/recent_request_ids.hpp"
@@ -16,8 +15,10 @@
   public:
     PeerRequestIds(RecentRequestIds& ids, const Scheduler& scheduler) : ids_(ids), scheduler_(scheduler) {}
 
-    // The peer uses these ids, or has used them recently. An id that is here already stays unchanged.
-    void add(const std::vector<std::uint64_t>& ids);
+    // The peer uses this id, or has used it recently. An id that is here already stays unchanged.
+    void add(std::uint64_t id);
+    // The last request of the peer with this id has ended. An id that is not here is ignored.
+    void remove(std::uint64_t id);
     // The peer has exited: none of its requests is open any more.
     void clear();
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -21,6 +21,7 @@
       sessionContext_{scheduler, tracker, connector, metrics, active_},
       responses_(metrics),
       predecessorRequestIds_(recentRequestIds_, scheduler),
+      successorRequestIds_(recentRequestIds_, scheduler),
       unopened_(metrics),
       descriptors_(scheduler, healthChecker, unopened_, active_, descriptorLimit),
       openingReader_(scheduler, tracker, recentRequestIds_, metrics),
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "admin/metrics.hpp"
 #include "health/health_checker.hpp"
+#include "hot_restart/handover_peer.hpp"
 #include "io/scheduler.hpp"
 #include "io/socket.hpp"
 #include "proxy/active_connections.hpp"
@@ -50,10 +52,14 @@
 
     // The ids of the requests that are open or have ended recently.
     std::vector<std::uint64_t> requestIds() const { return recentRequestIds_.all(); }
-    // Adds the request ids of the predecessor, which stay known for as long as the predecessor may use them.
-    void importRequestIds(const std::vector<std::uint64_t>& ids) { predecessorRequestIds_.add(ids); }
-    // The predecessor has exited: its requests that were not transferred to this node have ended.
-    void endPredecessorRequests() { predecessorRequestIds_.clear(); }
+    // The ids of a peer's requests. Connections with these ids are rejected.
+    PeerRequestIds& peerRequestIds(HandoverPeer peer) {
+        return peer == HandoverPeer::Predecessor ? predecessorRequestIds_ : successorRequestIds_;
+    }
+    // `observer` is called when a request of this node opens and when it has ended.
+    void setRequestObserver(RecentRequestIds::Observer observer) {
+        recentRequestIds_.setObserver(std::move(observer));
+    }
     // The number of open requests.
     std::size_t openRequestCount() const { return recentRequestIds_.openCount(); }
 
@@ -76,6 +82,7 @@
     ClientResponses responses_;
     RecentRequestIds recentRequestIds_;
     PeerRequestIds predecessorRequestIds_;
+    PeerRequestIds successorRequestIds_;
     UnopenedConnections unopened_;
     DescriptorBudget descriptors_;
     OpeningReader openingReader_;
--- a/src/proxy/recent_request_ids.cpp
+++ b/src/proxy/recent_request_ids.cpp
@@ -15,22 +15,32 @@
 
 void RecentRequestIds::open(std::uint64_t id) {
     ++openCount_;
-    hold(id);
+    Usage& usage = usages_[id];
+    ++usage.openRequests;
+    if (usage.openRequests == 1 && observer_) observer_(id, true);
 }
 
 void RecentRequestIds::close(std::uint64_t id, Time now) {
     --openCount_;
-    release(id, now);
+    Usage& usage = usages_.at(id);
+    --usage.openRequests;
+    retainIfEnded(id, usage, now);
+    if (usage.openRequests == 0 && observer_) observer_(id, false);
 }
 
 void RecentRequestIds::hold(std::uint64_t id) {
-    ++usages_[id].users;
+    ++usages_[id].holds;
 }
 
 void RecentRequestIds::release(std::uint64_t id, Time now) {
     Usage& usage = usages_.at(id);
-    --usage.users;
-    if (usage.users > 0) return;
+    --usage.holds;
+    retainIfEnded(id, usage, now);
+}
+
+// Starts the time for which the id stays known, if its last user has ended.
+void RecentRequestIds::retainIfEnded(std::uint64_t id, Usage& usage, Time now) {
+    if (usage.inUse()) return;
     usage.endedAt = now;
     ended_.push_back({now, id});
 }
@@ -62,7 +72,7 @@
     const auto found = usages_.find(ended.id);
     if (found == usages_.end()) return;
     const Usage& usage = found->second;
-    if (usage.users == 0 && usage.endedAt == ended.endedAt) usages_.erase(found);
+    if (!usage.inUse() && usage.endedAt == ended.endedAt) usages_.erase(found);
 }
 
 }  // namespace ivyreel
--- a/src/proxy/recent_request_ids.hpp
+++ b/src/proxy/recent_request_ids.hpp
@@ -4,7 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "io/scheduler.hpp"
@@ -19,6 +21,11 @@
 // other process of a hot restart (peer_request_ids.hpp).
 class RecentRequestIds {
   public:
+    // Called when this node begins to use an id and when its last request with the id has ended.
+    using Observer = std::function<void(std::uint64_t id, bool open)>;
+
+    void setObserver(Observer observer) { observer_ = std::move(observer); }
+
     // A request of this node has opened or ended.
     void open(std::uint64_t id);
     void close(std::uint64_t id, Time now);
@@ -35,17 +42,22 @@
 
   private:
     struct Usage {
-        std::size_t users = 0;  // open requests of this node, and other processes that hold the id
-        Time endedAt{0};        // when the last user ended; meaningless while there is one
+        std::size_t openRequests = 0;  // of this node
+        std::size_t holds = 0;         // of other processes
+        Time endedAt{0};               // when the last user ended; meaningless while there is one
+
+        bool inUse() const { return openRequests + holds > 0; }
     };
     struct EndedId {
         Time endedAt{0};
         std::uint64_t id = 0;
     };
 
+    void retainIfEnded(std::uint64_t id, Usage& usage, Time now);
     void removeExpired(Time now);
     void remove(const EndedId& ended);
 
+    Observer observer_;
     std::size_t openCount_ = 0;
     std::unordered_map<std::uint64_t, Usage> usages_;  // of all known ids
     std::deque<EndedId> ended_;  // oldest first; an entry is obsolete if its id is in use again
--- a/tests/handover_messages_test.cpp
+++ b/tests/handover_messages_test.cpp
@@ -73,6 +73,7 @@
     EXPECT_TRUE(std::holds_alternative<std::monostate>(parseMessage("{\"later\":1}")));
     EXPECT_TRUE(std::holds_alternative<std::monostate>(parseMessage("[]")));
     EXPECT_THROW(parseMessage("{\"ban\":42}"), HandoverError);
+    EXPECT_THROW(parseMessage("{\"request\":42}"), HandoverError);
     EXPECT_THROW(parseMessage("no json"), HandoverError);
 }
 
--- a/tests/hot_restart_golden_test.cpp
+++ b/tests/hot_restart_golden_test.cpp
@@ -224,6 +224,22 @@
     EXPECT_EQ(encode(notice), golden);
 }
 
+TEST(HotRestartGolden, RequestNoticeOpenRoundTripsByteForByte) {
+    const std::string golden = readGolden("request_notice_open.json");
+    const auto notice = std::get<RequestNotice>(parseMessage(golden));
+    EXPECT_EQ(notice.id, 18446744073709551615U);
+    EXPECT_TRUE(notice.open);
+    EXPECT_EQ(encode(notice), golden);
+}
+
+TEST(HotRestartGolden, RequestNoticeEndedRoundTripsByteForByte) {
+    const std::string golden = readGolden("request_notice_ended.json");
+    const auto notice = std::get<RequestNotice>(parseMessage(golden));
+    EXPECT_EQ(notice.id, 77U);
+    EXPECT_FALSE(notice.open);
+    EXPECT_EQ(encode(notice), golden);
+}
+
 TEST(HotRestartGolden, ReloadNoticeRoundTripsByteForByte) {
     const std::string golden = readGolden("reload_notice.json");
     const HandoverMessage message = parseMessage(golden);
--- a/tests/peer_request_ids_test.cpp
+++ b/tests/peer_request_ids_test.cpp
@@ -6,8 +6,6 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
-#include <numeric>
-#include <vector>
 
 #include "virtual_clock.hpp"
 
@@ -27,7 +25,8 @@
 TEST(PeerRequestIds, IdsAreKnownUntilTenSecondsAfterThePeerHasExited) {
     PeerRequestIdsFixture fixture;
     fixture.ids.open(7);
-    fixture.peer.add({7, 8});
+    fixture.peer.add(7);
+    fixture.peer.add(8);
     EXPECT_EQ(fixture.ids.openCount(), 1U) << "the peer's requests are not open at this node";
     EXPECT_TRUE(fixture.ids.isKnown(8, fixture.start() + 1h)) << "its request may be open at the peer";
     fixture.peer.clear();
@@ -38,20 +37,32 @@
 
 TEST(PeerRequestIds, AnIdThatIsAddedTwiceIsHeldOnce) {
     PeerRequestIdsFixture fixture;
-    fixture.peer.add({8, 8});
-    fixture.peer.add({8});
+    fixture.peer.add(8);
+    fixture.peer.add(8);
     fixture.peer.clear();
     EXPECT_FALSE(fixture.ids.isKnown(8, fixture.start() + 11s));
 }
 
+TEST(PeerRequestIds, AnIdIsKnownUntilTenSecondsAfterThePeersRequestHasEnded) {
+    PeerRequestIdsFixture fixture;
+    fixture.peer.add(8);
+    fixture.peer.remove(8);
+    fixture.peer.remove(9);
+    EXPECT_TRUE(fixture.ids.isKnown(8, fixture.start() + 10s));
+    EXPECT_FALSE(fixture.ids.isKnown(8, fixture.start() + 10s + 1us));
+    EXPECT_FALSE(fixture.ids.isKnown(9, fixture.start())) << "the peer did not use it";
+    fixture.peer.clear();
+    EXPECT_TRUE(fixture.ids.all().empty());
+}
+
 // Guards against the loss of open ids at an upgrade of a large node: all ids of the predecessor counted as
 // ended, and all but the last 4,096 were forgotten at once.
 TEST(PeerRequestIds, MoreIdsThanTheLimitOfEndedIdsStayKnown) {
     PeerRequestIdsFixture fixture;
-    std::vector<std::uint64_t> all(20'000);
-    std::iota(all.begin(), all.end(), 1);
-    fixture.peer.add(all);
-    for (const std::uint64_t id : all) {
+    for (std::uint64_t id = 0; id < 20'000; ++id) {
+        fixture.peer.add(id);
+    }
+    for (std::uint64_t id = 0; id < 20'000; ++id) {
         EXPECT_TRUE(fixture.ids.isKnown(id, fixture.start())) << id;
     }
 }
--- a/tests/proxy_server_test.cpp
+++ b/tests/proxy_server_test.cpp
@@ -70,6 +70,8 @@
     void startHealthCheck(EndpointId) override {}
     void startWatchingEndpointList() override {}
 
+    PeerRequestIds& predecessor() { return server.peerRequestIds(HandoverPeer::Predecessor); }
+
     // The predecessor transfers an established connection with this opening line.
     void adopt(const std::string& opening) {
         ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, client.data()), 0);
@@ -123,11 +125,11 @@
 // forgotten 10 s after the start of the successor although the connection was open.
 TEST(ProxyServer, RejectsTheIdOfAnAdoptedConnectionForAsLongAsItIsOpen) {
     ProxyServerFixture fixture;
-    fixture.server.importRequestIds({0x9b01});
+    fixture.predecessor().add(0x9b01);
     fixture.run(1s);
     fixture.adopt(kOpening);
     fixture.run(1s);
-    fixture.server.endPredecessorRequests();
+    fixture.predecessor().clear();
     fixture.run(60s);
     EXPECT_EQ(fixture.server.openRequestCount(), 1U);
     EXPECT_EQ(fixture.answerTo(kOpening), "ERR\r\n");
@@ -139,10 +141,10 @@
 // was forgotten 10 s after the start of the successor.
 TEST(ProxyServer, RejectsTheIdOfARequestOfThePredecessorUntilTenSecondsAfterItsExit) {
     ProxyServerFixture fixture;
-    fixture.server.importRequestIds({0x9b01});
+    fixture.predecessor().add(0x9b01);
     fixture.run(60s);
     EXPECT_EQ(fixture.answerTo(kOpening), "ERR\r\n");
-    fixture.server.endPredecessorRequests();
+    fixture.predecessor().clear();
     fixture.run(9s);
     EXPECT_EQ(fixture.answerTo(kOpening), "ERR\r\n");
     fixture.run(2s);
--- a/tests/recent_request_ids_test.cpp
+++ b/tests/recent_request_ids_test.cpp
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <utility>
+#include <vector>
 
 namespace ivyreel {
 namespace {
@@ -63,6 +65,21 @@
     EXPECT_TRUE(ids.all().empty());
 }
 
+TEST(RecentRequestIds, ObserverIsCalledForTheFirstAndTheLastRequestOfThisNode) {
+    std::vector<std::pair<std::uint64_t, bool>> calls;
+    RecentRequestIds ids;
+    ids.setObserver([&calls](std::uint64_t id, bool open) { calls.emplace_back(id, open); });
+    ids.hold(7);
+    EXPECT_TRUE(calls.empty()) << "only another process uses it";
+    ids.open(7);
+    ids.open(7);
+    ids.release(7, 1s);
+    ids.close(7, 1s);
+    EXPECT_EQ(calls, (std::vector<std::pair<std::uint64_t, bool>>{{7, true}}));
+    ids.close(7, 1s);
+    EXPECT_EQ(calls, (std::vector<std::pair<std::uint64_t, bool>>{{7, true}, {7, false}}));
+}
+
 TEST(RecentRequestIds, OpenIdsDoNotCountTowardsTheLimitOfEndedIds) {
     RecentRequestIds ids;
     for (std::uint64_t id = 0; id < 10'000; ++id) {
