The state is the first message to a successor, ahead of queued notices

What callers saw: a ban or SIGHUP between the connection of a new process and the reading of its request made the new process reject the whole state: bans, list, estimates and ids of requests were lost. Found by reading, not reported.

Cause: notices are queued on every link, also on one whose request is awaited; the state was queued behind them, and the successor reads the first line as the state.

Fix: the state is queued ahead of the lines that wait on its link.

--- a/src/hot_restart/handover.cpp
+++ b/src/hot_restart/handover.cpp
@@ -129,13 +129,15 @@
     return !stateHandedOver_ && request.listen == listener_.address().listen;
 }
 
+// The successor reads the first line as the state. Notices that were queued while its request was awaited
+// follow the state.
 void Handover::sendState(Session& session) {
     std::string line = delegate_.handoverState() + "\n";
     std::vector<int> listeners;
     for (const int listener : delegate_.listeners()) {
         listeners.push_back(::fcntl(listener, F_DUPFD_CLOEXEC, 0));
     }
-    session.link.queue(std::move(line), std::move(listeners));
+    session.link.queueFirst(std::move(line), std::move(listeners));
 }
 
 void Handover::resumeServing(const Session& session) {
--- a/src/hot_restart/handover_link.cpp
+++ b/src/hot_restart/handover_link.cpp
@@ -68,6 +68,10 @@
     queue_.push_back({std::move(line), std::move(descriptors)});
 }
 
+void HandoverLink::queueFirst(std::string line, std::vector<int> descriptors) {
+    queue_.push_front({std::move(line), std::move(descriptors)});
+}
+
 void HandoverLink::flush() {
     while (!queue_.empty() && !connection_.broken) {
         Packet& packet = queue_.front();
--- a/src/hot_restart/handover_link.hpp
+++ b/src/hot_restart/handover_link.hpp
@@ -41,6 +41,8 @@
     // Queues a line and the descriptors that go with its first byte. The link takes the ownership of the
     // descriptors.
     void queue(std::string line, std::vector<int> descriptors = {});
+    // Queues a line like queue(), ahead of all lines that are queued. Must not be called after flush().
+    void queueFirst(std::string line, std::vector<int> descriptors);
     // Sends as much of the queue as the socket accepts.
     void flush();
 
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -226,6 +226,20 @@
     EXPECT_EQ(node.counter("adopted"), 1);
 }
 
+// Guards against the loss of the whole state: a notice that was sent between the successor's connection and
+// its request preceded the state, and the successor took the notice for the state.
+TEST(HotRestart, StateIsTheFirstMessageAlthoughABanPrecedesTheRequest) {
+    SharedDirectory directory;
+    StubServer server;
+    NodeProcess node{restartOptions(server, directory)};
+    FakeSuccessor successor{directory};
+    awaitSuccess(node, "/-/ready");  // the node has accepted the link by then
+    EXPECT_EQ(node.adminRequest("POST", "/-/hosts/s-1/disable").first, 200);
+    successor.sendRequest();
+    EXPECT_NE(successor.nextMessage().find("\"estate\""), std::string::npos);
+    EXPECT_NE(successor.nextMessageWith("\"ban\"").find("\"on\":true"), std::string::npos);
+}
+
 // Guards against a node that does not start because the socket file is stale or its directory is missing, and
 // against a handover that fails because the path of the socket file is too long for a socket address.
 TEST(HotRestart, StartsWithoutAPredecessorAndHandsOverThroughALongDirectoryPath) {
