--- a/tests/proxy_server_test.cpp
+++ b/tests/proxy_server_test.cpp
@@ -27,7 +27,7 @@
   public:
     void handle(Time, const Event& event, std::vector<Action>& actions) override {
         if (const auto* arrived = std::get_if<RequestArrived>(&event))
-            actions.push_back(RejectRequest{arrived->request, Micros{0}});
+            actions.emplace_back(RejectRequest{arrived->request, Micros{0}});
     }
 };
 
