--- a/review/lib-2/lab.hpp
+++ b/review/lib-2/lab.hpp
@@ -604,6 +604,7 @@
     std::string console;
     std::string config;     // path
     std::string directory;  // TMPDIR; empty: not set
+    int descriptors = 0;    // the platform's limit on the process's descriptors; 0: that of this process
 };
 
 // A node process, started by the command `run` of the deploy file through /bin/sh from the root of the repository.
@@ -624,6 +625,10 @@
             } else {
                 ::setenv("TMPDIR", options.directory.c_str(), 1);
             }
+            if (options.descriptors > 0) {
+                const rlimit limit{static_cast<rlim_t>(options.descriptors), static_cast<rlim_t>(options.descriptors)};
+                ::setrlimit(RLIMIT_NOFILE, &limit);
+            }
             const int log = ::open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
