--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -71,7 +71,8 @@
         const char* kind = std::getenv("BAD_LINE");
         const bool isShort = kind != nullptr && std::string(kind) == "short";
         bad = std::make_unique<BadClients>(loop, options.listen, badCount, isShort ? "OPEN 1 2 c=none,d=1000\r\n" : lineWithManyNames());
-        record("%d bad clients, %s line", badCount, isShort ? "a short" : "a long");
+        record("%d bad clients, %s line: %.80s...", badCount, isShort ? "a short" : "a long",
+               isShort ? "OPEN 1 2 c=none,d=1000" : lineWithManyNames().c_str());
     }
     loop.run(2000);
     std::vector<ClientPtr> clients;
--- a/review/lib-2/lab.hpp
+++ b/review/lib-2/lab.hpp
@@ -514,6 +514,7 @@
         conn_->onLine = [this](const std::string& line) { handle(line); };
         conn_->onEnd = [this](bool reset) { ended(reset); };
         sentAt = steadyMs();
+        record("client %s: sends %s", id.c_str(), opening.c_str());
         conn_->send(opening + "\r\n");
     }
     Client(const Client&) = delete;
