Load values that the wire format cannot hold are malformed

Cause: any finite number was accepted as a load hint. The work of all nodes is a product with it and became infinite; infinity times a span of 0 is NaN, which stays in the learned capacity. The state handed over then had null in place of that number.

Change: a load hint is at most 4,294,967,295 (the wire format has 32 bits for it) and is otherwise answered as any malformed number: ERR, counted in bad_number. The same cause on related paths: a LOAD line and a value of a load report beyond single precision are ignored, and the load of a transferred connection that is too large or null no longer costs the connection. Products of two such values fit a double.

--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "protocol/line.hpp"
+#include "protocol/load_values.hpp"
 #include "util/number_parsing.hpp"
 
 namespace ivyreel {
@@ -48,6 +49,15 @@
            relay.completeUpstreamBytes <= relay.fromUpstream.size();
 }
 
+// The load of a transferred connection; none if it is absent or malformed. A predecessor of an earlier
+// version may send null in place of a number that is not finite.
+std::optional<double> loadFrom(const Json& content) {
+    const auto load = content.find("load");
+    if (load == content.end() || !load->is_number()) return std::nullopt;
+    const auto value = load->get<double>();
+    return isReportedValue(value) ? std::optional(value) : std::nullopt;
+}
+
 EstablishedConnection connectionFrom(const Json& content) {
     EstablishedConnection connection;
     connection.openingLine = fromHex(content.at("connection").get<std::string>());
@@ -57,7 +67,7 @@
     connection.relay.completeClientBytes = content.at("to_host").get<std::size_t>();
     connection.relay.completeUpstreamBytes = content.at("to_client").get<std::size_t>();
     connection.relay.unansweredSince = Time{content.at("unanswered").get<Time::rep>()};
-    if (content.contains("load")) connection.load = content.at("load").get<double>();
+    connection.load = loadFrom(content);
     return connection;
 }
 
--- a/src/protocol/line.cpp
+++ b/src/protocol/line.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "protocol/keywords.hpp"
+#include "protocol/load_values.hpp"
 #include "util/number_parsing.hpp"
 
 namespace ivyreel {
@@ -95,6 +96,10 @@
     return parseFiniteNumber(value(attribute));
 }
 
+std::optional<double> OpeningLine::loadHint() const {
+    return parseLoadHint(value(opening_attribute::kLoadHint));
+}
+
 std::string OpeningLine::withTimeout(std::chrono::microseconds timeout) const {
     const auto milliseconds = std::max<std::chrono::microseconds::rep>(0, timeout.count() / kMicrosPerMilli);
     std::string line = text_;
--- a/src/protocol/line.hpp
+++ b/src/protocol/line.hpp
@@ -45,6 +45,8 @@
     bool has(std::string_view attribute) const;
     // The value of an attribute as a finite number; none if the attribute is absent or not a number.
     std::optional<double> number(std::string_view attribute) const;
+    // The load hint in microseconds of work per second; none if it is absent or malformed (load_values.hpp).
+    std::optional<double> loadHint() const;
 
     // The original line with a line end. The value of its timeout attribute, if there is one, is replaced by
     // `timeout` in whole milliseconds, at least 0.
--- a/src/proxy/opening_reader.cpp
+++ b/src/proxy/opening_reader.cpp
@@ -1,7 +1,6 @@
 #include "proxy/opening_reader.hpp"
 
 #include <chrono>
-#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,9 +18,9 @@
 constexpr int kMaxLinesBeforeYield = 16;  // health checks answered before yielding to the other coroutines
 constexpr double kMaxClientTimeoutMs = 24 * 3600 * 1e3;  // one day
 
-bool hasNumberWithin(const OpeningLine& opening, std::string_view attribute, double max) {
-    const auto value = opening.number(attribute);
-    return value && *value >= 0 && *value <= max;
+bool hasValidTimeout(const OpeningLine& opening) {
+    const auto timeoutMs = opening.number(opening_attribute::kTimeout);
+    return timeoutMs && *timeoutMs >= 0 && *timeoutMs <= kMaxClientTimeoutMs;
 }
 
 }  // namespace
@@ -31,11 +30,8 @@
     if (!tracker_.knowsRequestClass(opening.value(opening_attribute::kRequestClass)))
         return InputError::UnknownClass;
     const bool resumed = !opening.value(opening_attribute::kCurrentEndpoint).empty();
-    if (!resumed && !hasNumberWithin(opening, opening_attribute::kTimeout, kMaxClientTimeoutMs))
-        return InputError::InvalidNumber;
-    if (opening.has(opening_attribute::kLoadHint) &&
-        !hasNumberWithin(opening, opening_attribute::kLoadHint, std::numeric_limits<double>::max()))
-        return InputError::InvalidNumber;
+    if (!resumed && !hasValidTimeout(opening)) return InputError::InvalidNumber;
+    if (opening.has(opening_attribute::kLoadHint) && !opening.loadHint()) return InputError::InvalidNumber;
     if (recentRequestIds_.isKnown(opening.id(), scheduler_.now())) return InputError::DuplicateId;
     return std::nullopt;
 }
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -7,8 +7,8 @@
 
 #include "protocol/keywords.hpp"
 #include "protocol/line.hpp"
+#include "protocol/load_values.hpp"
 #include "requests/load_report_parser.hpp"
-#include "util/number_parsing.hpp"
 
 namespace ivyreel {
 
@@ -116,7 +116,7 @@
 void Relay::handleUpstreamLine(std::string_view line) {
     const auto [word, rest] = firstWord(line);
     if (word == keyword::kLoad) {
-        if (const auto figure = parseFiniteNumber(rest)) tracker_.loadLineReceived(trackedRequest_, *figure);
+        if (const auto figure = parseReportedValue(rest)) tracker_.loadLineReceived(trackedRequest_, *figure);
         return;
     }
     if (word == keyword::kUp) return;
--- a/src/proxy/request_session.cpp
+++ b/src/proxy/request_session.cpp
@@ -27,7 +27,7 @@
     result.tenant = opening_.value(opening_attribute::kTenant);
     result.group = opening_.value(opening_attribute::kGroup);
     result.key = opening_.key();
-    result.loadHint = opening_.number(opening_attribute::kLoadHint);
+    result.loadHint = opening_.loadHint();
     const double timeout = opening_.number(opening_attribute::kTimeout).value_or(0.0);
     const double timeoutMs = std::clamp(timeout, 0.0, kClientTimeoutClampMs);
     result.clientTimeout = Micros{static_cast<Micros::rep>(timeoutMs * kMicrosPerMilli)};
--- a/src/requests/load_report_parser.cpp
+++ b/src/requests/load_report_parser.cpp
@@ -4,17 +4,18 @@
 #include <cstddef>
 
 #include "config/report_field.hpp"
-#include "util/number_parsing.hpp"
+#include "protocol/load_values.hpp"
 
 namespace ivyreel {
 
 namespace {
 
-// Parses one "name=value" item into the report. Returns false if the value is not a finite number.
+// Parses one "name=value" item into the report. Returns false if the value is
+// malformed.
 bool parseItem(std::string_view item, LoadReport& report) {
     const std::size_t equals = item.find('=');
     if (equals == std::string_view::npos) return false;
-    const auto value = parseFiniteNumber(item.substr(equals + 1));
+    const auto value = parseReportedValue(item.substr(equals + 1));
     if (!value) return false;
     setReportedValue(report, reportField(item.substr(0, equals)), *value);
     return true;
--- a/src/requests/load_report_parser.hpp
+++ b/src/requests/load_report_parser.hpp
@@ -8,8 +8,8 @@
 
 namespace ivyreel {
 
-// Ignores unknown names, and values that are not finite numbers. Returns nullopt if no item has a finite
-// number.
+// Ignores unknown names and malformed values (protocol/load_values.hpp). Returns nullopt if no item has a
+// valid value.
 std::optional<LoadReport> parseLoadReport(std::string_view text);
 
 }  // namespace ivyreel
--- a/tests/event_conversion_test.cpp
+++ b/tests/event_conversion_test.cpp
@@ -97,5 +97,14 @@
         << "values that are not finite are ignored";
 }
 
+// Guards against infinite estimates: sums of values that the wire format cannot hold overflow.
+TEST(LoadReportParser, IgnoresValuesThatExceedSinglePrecision) {
+    EXPECT_FALSE(parseLoadReport("x0=1e308,util=-1e308,inflight=3.5e38"));
+    const auto load = parseLoadReport("x0=1e308,util=3.4e38");
+    ASSERT_TRUE(load);
+    EXPECT_FALSE(load->loadOverCapacity);
+    EXPECT_EQ(load->cpuUtilisation, 3.4e38);
+}
+
 }  // namespace
 }  // namespace ivyreel::test
--- a/tests/handover_messages_test.cpp
+++ b/tests/handover_messages_test.cpp
@@ -60,6 +60,19 @@
     }
 }
 
+// Guards against cut-off connections and infinite estimates: a predecessor of an earlier version may transfer
+// a load that is too large, or null in place of a load that is not finite.
+TEST(HandoverMessages, ConnectionTransferWithAnUnusableLoadIsTakenWithoutIt) {
+    for (const char* load : {"1e308", "null", "\"x\""}) {
+        std::string text = encode(exampleConnection());
+        const std::string valid = "\"load\":12.5";
+        text.replace(text.find(valid), valid.size(), std::string("\"load\":") + load);
+        const EstablishedConnection received = std::get<ConnectionTransfer>(parseMessage(text)).parse();
+        EXPECT_FALSE(received.load) << load;
+        EXPECT_EQ(received.openingLine, exampleConnection().openingLine);
+    }
+}
+
 TEST(HandoverMessages, NoticesRoundTrip) {
     EXPECT_TRUE(std::holds_alternative<ServingNotice>(parseMessage(encode(ServingNotice{}))));
     EXPECT_TRUE(std::holds_alternative<ReloadNotice>(parseMessage(encode(ReloadNotice{}))));
--- a/tests/node_opening_test.cpp
+++ b/tests/node_opening_test.cpp
@@ -63,7 +63,8 @@
          {"OPEN 7 8 c=chat,d=\r\n", "OPEN 7 8 c=chat,d=soon\r\n", "OPEN 7 8 c=chat,d=-5\r\n",
           "OPEN 7 8 c=chat,d=nan\r\n", "OPEN 7 8 c=chat,d=inf\r\n",
           "OPEN 7 8 c=chat,d=99999999999999999999\r\n", "OPEN 7 8 c=chat,d=1e999\r\n", "OPEN 7 8 c=chat\r\n",
-          "OPEN 7 8 c=chat,d=9,h=-1\r\n", "OPEN 7 8 c=chat,d=9,h=x\r\n"}},
+          "OPEN 7 8 c=chat,d=9,h=-1\r\n", "OPEN 7 8 c=chat,d=9,h=x\r\n", "OPEN 7 8 c=chat,d=9,h=1e308\r\n",
+          "OPEN 7 8 c=chat,d=9,h=4294967296\r\n"}},
         {"bad_id", {"OPEN 9b1f 8 c=chat,d=20000\r\n", "OPEN 9B1F 8 c=chat,d=20000\r\n"}},
         {"bad_early",
          {"OPEN 7 8 c=chat,d=9000\r\nOPEN 8 9 c=chat,d=9000\r\n", "OPEN 7 8 c=chat,d=9000\r\nx"}},
@@ -92,6 +93,17 @@
     EXPECT_TRUE(server.hasNoQueuedConnection());
 }
 
+// Guards against refused requests and lost bans: a load hint that the wire format cannot hold made the
+// learned capacity infinite.
+TEST(NodeOpening, AcceptsTheLargestLoadHintAndRejectsALargerOne) {
+    StubServer server;
+    NodeProcess node{optionsFor(server)};
+    TestConnection excessive = node.client("OPEN 7 8 c=chat,d=20000,h=4294967296\r\n");
+    EXPECT_EQ(excessive.line(), "ERR");
+    EXPECT_TRUE(server.hasNoQueuedConnection());
+    establishConnection(node, server, "OPEN 7 8 c=chat,d=20000,h=4294967295\r\n");
+}
+
 // Guards against a lost answer: closing a socket with unread input resets the connection.
 TEST(NodeOpening, DeliversItsAnswerToAClientThatStillSends) {
     StubServer server;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "requests/request_tracker.hpp"
@@ -113,6 +114,19 @@
     }
 }
 
+// Guards against infinite estimates: sums of loads that the wire format cannot hold overflow.
+TEST(Relay, LoadLineThatExceedsSinglePrecisionIsRelayedButNotReported) {
+    RelayFixture fixture;
+    fixture.endpointEndsWith("LOAD 1e308\r\nLOAD 1000\r\n");
+    EXPECT_EQ(fixture.clientReceived, "LOAD 1e308\r\nLOAD 1000\r\n");
+    std::vector<double> loads;
+    for (const Event& event : fixture.events) {
+        if (const auto* measured = std::get_if<ConnectionLoadMeasured>(&event))
+            loads.push_back(measured->load);
+    }
+    EXPECT_EQ(loads, (std::vector<double>{1000.0}));
+}
+
 TEST(Relay, MoveFromTheNodeItselfDoesNotWithholdTheEndpoint) {
     RelayFixture fixture;
     fixture.run(true);
