An invalid section of a handover state costs that section only

Cause: the JSON text has null for a number that is not finite, and the successor rejected the whole state for any value that it could not read.

Evidence: HotRestart.BansAreInheritedFromAStateWithAnInvalidSection failed with the program of the commit before (the request went to the banned endpoint) and passes now.

Change: the successor reads each section by itself, logs the name and the fault of an invalid one, and uses the others; without a list it starts with that of its configuration. The exporter writes no number that is not finite: the estimates of a new node replace those of the fleet, and the record of such an endpoint is left out.

A state without its version is still rejected.

--- a/src/decision/endpoint_selection_engine.cpp
+++ b/src/decision/endpoint_selection_engine.cpp
@@ -64,30 +64,36 @@
     state_.admission.setTenantCount(state_.settings.tenants.size());
 }
 
+// An estimate that is not finite is useless to the successor: it gets the estimates of a new node, and no
+// record of that endpoint.
 LearnedState EndpointSelectionEngine::learnedState(Time now) const {
     LearnedState result;
-    state_.arrivals.store(result.fleet, now);
-    state_.loads.store(result.fleet);
-    state_.saturationThreshold.store(result.fleet);
-    state_.setupTimes.store(result.fleet);
-    state_.fleet.store(result.fleet);
-    for (const Endpoint& endpoint : state_.endpoints)
-        result.endpoints.push_back({endpoint.entry.id, endpoint.entry.startedAt,
-                                    static_cast<const LearnedEndpointState&>(endpoint)});
+    result.fleet = learnedFleetState(now);
+    if (!isFinite(*result.fleet))
+        result.fleet = EndpointSelectionEngine(state_.settings).learnedFleetState(now);
+    for (const Endpoint& endpoint : state_.endpoints) {
+        const LearnedEndpointState& learned = endpoint;
+        if (isFinite(learned))
+            result.endpoints.push_back({endpoint.entry.id, endpoint.entry.startedAt, learned});
+    }
     return result;
 }
 
+LearnedFleetState EndpointSelectionEngine::learnedFleetState(Time now) const {
+    LearnedFleetState learned;
+    state_.arrivals.store(learned, now);
+    state_.loads.store(learned);
+    state_.saturationThreshold.store(learned);
+    state_.setupTimes.store(learned);
+    state_.fleet.store(learned);
+    return learned;
+}
+
 // Departure, inherited state: after an upgrade the node continues with the learned state of its predecessor,
 // except for endpoints that have restarted since. This prevents a node from losing all learned state at each
 // upgrade.
 void EndpointSelectionEngine::on(const LearnedStateInherited& event, EventContext eventContext) {
-    const LearnedFleetState& learned = event.learnedState.fleet;
-    state_.arrivals.restore(learned, eventContext.now);
-    state_.loads.restore(learned);
-    state_.saturationThreshold.restore(learned);
-    state_.setupTimes.restore(learned);
-    state_.fleet.restore(learned);
-    applySettings();
+    if (event.learnedState.fleet) restore(*event.learnedState.fleet, eventContext.now);
     for (const LearnedState::EndpointRecord& record : event.learnedState.endpoints) {
         Endpoint* endpoint = state_.endpoints.find(record.id);
         if (endpoint != nullptr && endpoint->entry.startedAt == record.startedAt)
@@ -95,6 +101,15 @@
     }
 }
 
+void EndpointSelectionEngine::restore(const LearnedFleetState& learned, Time now) {
+    state_.arrivals.restore(learned, now);
+    state_.loads.restore(learned);
+    state_.saturationThreshold.restore(learned);
+    state_.setupTimes.restore(learned);
+    state_.fleet.restore(learned);
+    applySettings();
+}
+
 // ---- timers ----
 
 void EndpointSelectionEngine::on(const TimerExpired& event, EventContext eventContext) {
--- a/src/decision/endpoint_selection_engine.hpp
+++ b/src/decision/endpoint_selection_engine.hpp
@@ -31,6 +31,8 @@
     void on(const Started& event, EventContext eventContext);
     void on(const SettingsChanged& event, EventContext eventContext);
     void on(const LearnedStateInherited& event, EventContext eventContext);
+    LearnedFleetState learnedFleetState(Time now) const;
+    void restore(const LearnedFleetState& learned, Time now);
     void applySettings();
 
     // Timers.
--- a/src/decision/learned_state.hpp
+++ b/src/decision/learned_state.hpp
@@ -2,6 +2,7 @@
 // adopt.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "decision/types.hpp"
@@ -50,8 +51,12 @@
         Time startedAt{0};  // start of the process that this state describes
         LearnedEndpointState state;
     };
-    LearnedFleetState fleet;
+    std::optional<LearnedFleetState> fleet;  // none if it is not known; the receiver keeps its own
     std::vector<EndpointRecord> endpoints;
 };
 
+// Whether no number is infinite or NaN. The text of a handover state cannot hold such numbers.
+bool isFinite(const LearnedEndpointState& learned);
+bool isFinite(const LearnedFleetState& learned);
+
 }  // namespace ivyreel
--- a/src/hot_restart/handover_state.cpp
+++ b/src/hot_restart/handover_state.cpp
@@ -4,6 +4,7 @@
 #include <concepts>
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <type_traits>
 
@@ -104,10 +105,30 @@
     visit("ids", state.requestIds);
 }
 
+template <class T>
+Json toJsonValue(const T& value) {
+    return value;
+}
+
+template <class T>
+Json toJsonValue(const std::optional<T>& value) {
+    return value ? Json(*value) : Json();
+}
+
+template <class T>
+void assignFrom(const Json& in, T& value) {
+    value = in.get<T>();
+}
+
+template <class T>
+void assignFrom(const Json& in, std::optional<T>& value) {
+    value = in.get<T>();
+}
+
 template <class Record>
 Json write(const Record& record) {
     Json out = Json::object();
-    visitFields(record, [&out](const char* key, const auto& value) { out[key] = value; });
+    visitFields(record, [&out](const char* key, const auto& value) { out[key] = toJsonValue(value); });
     return out;
 }
 
@@ -151,21 +172,31 @@
     return document.dump();
 }
 
-HandoverState HandoverState::parse(std::string_view text) {
+// Returns the document if it has the version that this node reads.
+static Json parseDocument(std::string_view text) {
     try {
-        const Json document = Json::parse(text);
+        Json document = Json::parse(text);
         const int version = document.at(kVersionKey).get<int>();
         if (version != kHandoverStateVersion)
             throw HandoverError("handover state has version " + std::to_string(version) +
                                 "; this node reads version " + std::to_string(kHandoverStateVersion));
-        HandoverState state;
-        read(document, state);
-        return state;
-    } catch (const HandoverError&) {
-        throw;
-    } catch (const std::exception& error) {
+        return document;
+    } catch (const Json::exception& error) {
         throw HandoverError(std::string("malformed handover state: ") + error.what());
     }
 }
 
+ParsedHandoverState HandoverState::parse(std::string_view text) {
+    const Json document = parseDocument(text);
+    ParsedHandoverState result;
+    visitFields(result.state, [&document, &result](const char* key, auto& section) {
+        try {
+            assignFrom(document.at(key), section);
+        } catch (const std::exception& error) {
+            result.invalidSections.push_back({key, error.what()});
+        }
+    });
+    return result;
+}
+
 }  // namespace ivyreel
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -82,7 +82,12 @@
 std::optional<HandoverState> Node::parseState(const std::optional<PredecessorState>& predecessor) {
     if (!predecessor) return std::nullopt;
     try {
-        return HandoverState::parse(predecessor->handoverState());
+        ParsedHandoverState parsed = HandoverState::parse(predecessor->handoverState());
+        for (const InvalidStateSection& section : parsed.invalidSections) {
+            spdlog::error("hot restart: ignoring the section \"{}\" of the predecessor's state: {}",
+                          section.key, section.reason);
+        }
+        return std::move(parsed.state);
     } catch (const std::exception& error) {
         spdlog::error("hot restart: ignoring the state of the predecessor, which is invalid: {}",
                       error.what());
@@ -92,7 +97,8 @@
 
 // Restores the state of the predecessor, if there is one; otherwise the endpoint list of the configuration.
 void Node::restoreState() {
-    const MembershipUpdate& known = inheritedState_ ? inheritedState_->list : config_.knownEndpoints;
+    const bool inheritsList = inheritedState_ && inheritedState_->list;
+    const MembershipUpdate& known = inheritsList ? *inheritedState_->list : config_.knownEndpoints;
     watcher_.restore(known);
     applyDiscoverySettings();
     tracker_.start(known.entries());
--- a/src/requests/request_tracker.cpp
+++ b/src/requests/request_tracker.cpp
@@ -55,8 +55,10 @@
 }
 
 void RequestTracker::importState(ExportedState state) {
-    std::vector<double>& loads = state.learnedState.fleet.meanLoadByClass;
-    loads = reorderedValues(loads, state.classNames, settings_.classNames);
+    if (state.learnedState.fleet) {
+        std::vector<double>& loads = state.learnedState.fleet->meanLoadByClass;
+        loads = reorderedValues(loads, state.classNames, settings_.classNames);
+    }
     sendToEngine(LearnedStateInherited{std::move(state.learnedState)});
     for (const EndpointId endpoint : state.listed) {
         endpoints_.add(endpoint);
--- a/tests/decision/decision_engine_driver.hpp
+++ b/tests/decision/decision_engine_driver.hpp
@@ -50,6 +50,7 @@
     }
 
     Time now() const { return now_; }
+    const DecisionEngine& engine() const { return *engine_; }
 
     // Passes an event to the engine and records its actions.
     void deliver(const Event& event) {
--- a/tests/decision/decision_engine_test.cpp
+++ b/tests/decision/decision_engine_test.cpp
@@ -1,7 +1,9 @@
 // The decision engine at startup, its determinism, and unusual settings.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 #include "decision_engine_driver.hpp"
@@ -96,5 +98,41 @@
     }
 }
 
+LearnedState inherited(double workSeconds, double slowdown) {
+    LearnedState learned;
+    learned.fleet.emplace();
+    learned.fleet->workSeconds = workSeconds;
+    learned.endpoints.push_back({EndpointId{1}, Time{0}, {}});
+    learned.endpoints.back().state.slowdown = slowdown;
+    return learned;
+}
+
+// Guards against bans that an upgrade loses: the text of a handover state cannot hold infinity and NaN.
+TEST(DecisionEngine, LearnedStateIsFinite) {
+    constexpr double kInfinity = std::numeric_limits<double>::infinity();
+    DecisionEngineDriver d = makeFleet(defaultSettings(), 2, 0.5);
+    const LearnedState fresh = d.engine().learnedState(d.now());
+    d.deliver(LearnedStateInherited{inherited(kInfinity, std::nan(""))});
+    const LearnedState learned = d.engine().learnedState(d.now());
+    ASSERT_TRUE(learned.fleet);
+    EXPECT_TRUE(isFinite(*learned.fleet));
+    EXPECT_EQ(learned.fleet->saturationThreshold, fresh.fleet->saturationThreshold)
+        << "the estimates of a new node replace those that are not finite";
+    ASSERT_EQ(learned.endpoints.size(), 1U) << "the record that is not finite is left out";
+    EXPECT_EQ(learned.endpoints[0].id, EndpointId{2});
+}
+
+TEST(DecisionEngine, InheritedEndpointsAreKeptWithoutTheFleetsEstimates) {
+    DecisionEngineDriver d = makeFleet(defaultSettings(), 2, 0.5);
+    LearnedState learned = inherited(0.0, 1.5);
+    const LearnedState before = d.engine().learnedState(d.now());
+    learned.fleet.reset();
+    d.deliver(LearnedStateInherited{learned});
+    const LearnedState after = d.engine().learnedState(d.now());
+    EXPECT_EQ(after.fleet->saturationThreshold, before.fleet->saturationThreshold);
+    EXPECT_EQ(after.fleet->typicalLoad, before.fleet->typicalLoad);
+    EXPECT_EQ(after.endpoints.at(0).state.slowdown, 1.5);
+}
+
 }  // namespace
 }  // namespace ivyreel::test
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -242,6 +242,38 @@
 
 // Guards against a node that does not start because the socket file is stale or its directory is missing, and
 // against a handover that fails because the path of the socket file is too long for a socket address.
+// Guards against bans that an upgrade loses: a predecessor of an earlier version writes null for a number
+// that is not finite.
+TEST(HotRestart, BansAreInheritedFromAStateWithAnInvalidSection) {
+    SharedDirectory directory;
+    SharedDirectory otherDirectory("hot_restart_target");
+    StubServer banned;
+    StubServer usable;
+    NodeProcess::Options options = restartOptions(banned, directory);
+    options.servers = {{"s-1", banned.address()}, {"s-2", usable.address()}};
+    const NodeProcess source{options};
+    EXPECT_EQ(source.adminRequest("POST", "/-/hosts/s-1/disable").first, 200);
+    FakeSuccessor successor{directory};
+    successor.sendRequest();
+    std::string state = successor.nextMessage();
+    const std::size_t work = state.find("\"work\":");
+    ASSERT_NE(work, std::string::npos);
+    state.insert(work + 7, "null,\"other\":");
+
+    FakePredecessor predecessor{otherDirectory};
+    std::thread predecessorThread([&predecessor, &state] {
+        predecessor.acceptRequest();
+        predecessor.sendState(state);
+    });
+    options.directory = otherDirectory.path();
+    NodeProcess node{options};
+    predecessorThread.join();
+    for (int i = 0; i < 20 && !testing::Test::HasFailure(); ++i) {
+        establishConnection(node, usable);
+    }
+    EXPECT_TRUE(banned.hasNoQueuedConnection());
+}
+
 TEST(HotRestart, StartsWithoutAPredecessorAndHandsOverThroughALongDirectoryPath) {
     SharedDirectory directory;
     StubServer server;
