One reader for all messages of the handover link, the state included

Cause: two readers disagreed about where a message ends. The reader of the state read until its buffer ended with a line end, and so took the next message, when it came in the same read, for a part of the state. The state could then not be parsed and was rejected as a whole.

Change: HandoverMessageReader splits the input of the link into messages, for the state as for all others. What follows the state stays in it and goes to the link together with the descriptor.

--- a/src/hot_restart/handover.cpp
+++ b/src/hot_restart/handover.cpp
@@ -28,8 +28,8 @@
 
 // The link to one peer node and the state of that peer. It is in Handover::sessions_ throughout its lifetime.
 struct Handover::Session {
-    Session(Handover& handover, int descriptor, HandoverPeer role)
-        : sessions(handover.sessions_), link(handover.scheduler_, descriptor), peer(role) {
+    Session(Handover& handover, int descriptor, HandoverPeer role, HandoverMessageReader reader = {})
+        : sessions(handover.sessions_), link(handover.scheduler_, descriptor, std::move(reader)), peer(role) {
         position = sessions.insert(sessions.end(), this);
     }
     Session(const Session&) = delete;
@@ -172,8 +172,8 @@
 
 // ---- as successor ----
 
-Task<void> Handover::exchangeWithPredecessor(int descriptor) {
-    Session session{*this, descriptor, HandoverPeer::Predecessor};
+Task<void> Handover::exchangeWithPredecessor(int descriptor, HandoverMessageReader reader) {
+    Session session{*this, descriptor, HandoverPeer::Predecessor, std::move(reader)};
     if (serving_) session.link.queue(encode(ServingNotice{}));  // serve() ran before this session was listed
     co_await exchangeMessages(session);
     spdlog::info("hot restart: the link to the predecessor is closed");
--- a/src/hot_restart/handover.hpp
+++ b/src/hot_restart/handover.hpp
@@ -19,6 +19,7 @@
 #include "hot_restart/established_connection.hpp"
 #include "hot_restart/handover_address.hpp"
 #include "hot_restart/handover_link.hpp"
+#include "hot_restart/handover_message_reader.hpp"
 #include "hot_restart/handover_messages.hpp"
 #include "hot_restart/handover_peer.hpp"
 #include "io/scheduler.hpp"
@@ -75,8 +76,8 @@
     // Accepts and serves successors for as long as the node runs.
     Task<void> listen();
     // Exchanges messages with the predecessor until it exits. Takes the ownership of `descriptor`, the link
-    // to the predecessor.
-    Task<void> exchangeWithPredecessor(int descriptor);
+    // to the predecessor; `reader` has the input of the link that follows the state.
+    Task<void> exchangeWithPredecessor(int descriptor, HandoverMessageReader reader);
     // Notifies the predecessor that this node serves clients from now on.
     void notifyServing();
     // Notifies the other nodes that an operator has banned an endpoint here, or lifted its ban.
--- a/src/hot_restart/handover_link.cpp
+++ b/src/hot_restart/handover_link.cpp
@@ -2,7 +2,6 @@
 
 #include <sys/types.h>
 
-#include <array>
 #include <cerrno>
 #include <utility>
 
@@ -13,55 +12,45 @@
 namespace {
 
 constexpr std::size_t kMaxMessageBytes = 256UL * 1024;  // fits a connection with two full buffers in hex
-constexpr std::size_t kReadBytes = 16384;
 
 }  // namespace
 
-HandoverLink::HandoverLink(Scheduler& scheduler, int descriptor)
-    : signal_(scheduler), connection_(Socket{signal_, descriptor}) {}
+HandoverLink::HandoverLink(Scheduler& scheduler, int descriptor, HandoverMessageReader reader)
+    : signal_(scheduler), connection_(Socket{signal_, descriptor}), reader_(std::move(reader)) {}
 
 HandoverLink::~HandoverLink() {
     for (const Packet& packet : queue_) {
         closeAll(packet.descriptors);
     }
-    closeAll(receivedDescriptors_);
 }
 
 bool HandoverLink::overflowed() const {
-    return received_.size() >= kMaxMessageBytes;
+    return reader_.pendingBytes() >= kMaxMessageBytes;
 }
 
 void HandoverLink::receive() {
     while (!connection_.inputEnded() && !overflowed()) {
-        std::array<char, kReadBytes> chunk{};
-        const ssize_t count =
-            receiveWithDescriptors(connection_.socket.descriptor(), chunk, receivedDescriptors_);
-        if (count > 0) {
-            received_.append(chunk.data(), static_cast<std::size_t>(count));
-        } else if (count == 0) {
-            connection_.ended = true;
-        } else if (errno == EAGAIN) {
-            return;
-        } else if (errno != EINTR) {
-            connection_.broken = true;
+        switch (reader_.receive(connection_.socket.descriptor())) {
+            case HandoverMessageReader::Result::Received:
+            case HandoverMessageReader::Result::Interrupted:
+                break;
+            case HandoverMessageReader::Result::WouldBlock:
+                return;
+            case HandoverMessageReader::Result::Ended:
+                connection_.ended = true;
+                break;
+            case HandoverMessageReader::Result::Failed:
+                connection_.broken = true;
+                break;
         }
     }
 }
 
-std::optional<std::string> HandoverLink::nextMessage() {
-    const std::size_t end = received_.find('\n');
-    if (end == std::string::npos) return std::nullopt;
-    std::string message = received_.substr(0, end);
-    received_.erase(0, end + 1);
-    return message;
-}
-
 int HandoverLink::takeDescriptor() {
-    if (receivedDescriptors_.empty())
+    const std::optional<int> descriptor = reader_.takeDescriptor();
+    if (!descriptor)
         throw HandoverError("connection transfer arrived without its client and endpoint sockets");
-    const int descriptor = receivedDescriptors_.front();
-    receivedDescriptors_.erase(receivedDescriptors_.begin());
-    return descriptor;
+    return *descriptor;
 }
 
 void HandoverLink::queue(std::string line, std::vector<int> descriptors) {
--- a/src/hot_restart/handover_link.hpp
+++ b/src/hot_restart/handover_link.hpp
@@ -8,16 +8,17 @@
 #include <vector>
 
 #include "hot_restart/handover_error.hpp"
+#include "hot_restart/handover_message_reader.hpp"
 #include "io/scheduler.hpp"
 #include "io/socket.hpp"
 
 namespace ivyreel {
 
-// One end of the link. It owns the descriptors that are queued to be sent, and the received ones that have
-// not been taken.
+// One end of the link. It owns the descriptors that are queued to be sent.
 class HandoverLink {
   public:
-    HandoverLink(Scheduler& scheduler, int descriptor);
+    // Takes the ownership of the descriptor. `reader` may hold input of the link that was received before.
+    HandoverLink(Scheduler& scheduler, int descriptor, HandoverMessageReader reader = {});
     HandoverLink(const HandoverLink&) = delete;
     HandoverLink& operator=(const HandoverLink&) = delete;
     HandoverLink(HandoverLink&&) = delete;
@@ -34,7 +35,7 @@
     // Reads what has arrived, until it overflows.
     void receive();
     // Takes the next complete message, without its line end; none if there is none.
-    std::optional<std::string> nextMessage();
+    std::optional<std::string> nextMessage() { return reader_.nextMessage(); }
     // Takes the next received descriptor. Throws HandoverError if there is none.
     int takeDescriptor();
 
@@ -58,8 +59,7 @@
     Signal signal_;
     Connection connection_;
     std::deque<Packet> queue_;
-    std::string received_;
-    std::vector<int> receivedDescriptors_;  // in the order of the messages that they belong to
+    HandoverMessageReader reader_;
 };
 
 }  // namespace ivyreel
--- a/src/hot_restart/predecessor_state.cpp
+++ b/src/hot_restart/predecessor_state.cpp
@@ -5,8 +5,6 @@
 #include <sys/socket.h>
 #include <sys/types.h>
 
-#include <array>
-#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -22,7 +20,6 @@
 
 constexpr std::chrono::seconds kRequestTimeout = 1s;  // a running node answers within milliseconds
 constexpr std::size_t kMaxStateBytes = 64UL * 1024 * 1024;
-constexpr std::size_t kReadBytes = 65536;
 
 // Waits until a descriptor is readable. Returns false at the deadline.
 bool awaitReadable(int descriptor, SteadyTime deadline) {
@@ -71,23 +68,34 @@
 // Receives the line of state and the listening sockets. Returns false if the line is incomplete at the
 // deadline or at the end of the link, or is too long.
 bool PredecessorState::receiveState(SteadyTime deadline) {
-    while (!inheritedState_.ends_with('\n')) {
-        std::array<char, kReadBytes> chunk{};
-        std::vector<int> descriptors;
-        const ssize_t count = receiveWithDescriptors(link_.get(), chunk, descriptors);
-        const int error = errno;
-        for (const int descriptor : descriptors) {
-            listeners_.emplace_back(descriptor);
+    for (;;) {
+        if (std::optional<std::string> state = reader_.nextMessage()) {
+            inheritedState_ = std::move(*state);
+            takeListeners();
+            return true;
         }
-        if (count > 0) {
-            inheritedState_.append(chunk.data(), static_cast<std::size_t>(count));
-            if (inheritedState_.size() > kMaxStateBytes) return false;
-            continue;
+        if (reader_.pendingBytes() > kMaxStateBytes) return false;
+        switch (reader_.receive(link_.get())) {
+            case HandoverMessageReader::Result::Received:
+            case HandoverMessageReader::Result::Interrupted:
+                break;
+            case HandoverMessageReader::Result::WouldBlock:
+                if (!awaitReadable(link_.get(), deadline)) return false;
+                break;
+            case HandoverMessageReader::Result::Ended:
+            case HandoverMessageReader::Result::Failed:
+                return false;
         }
-        const bool retryable = count < 0 && (error == EAGAIN || error == EINTR);
-        if (!retryable || !awaitReadable(link_.get(), deadline)) return false;
     }
-    return true;
+}
+
+// The descriptors behind those that one message can carry belong to later messages.
+void PredecessorState::takeListeners() {
+    while (listeners_.size() < kMaxDescriptorsPerMessage) {
+        const std::optional<int> listener = reader_.takeDescriptor();
+        if (!listener) return;
+        listeners_.emplace_back(*listener);
+    }
 }
 
 }  // namespace ivyreel
--- a/src/hot_restart/predecessor_state.hpp
+++ b/src/hot_restart/predecessor_state.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "hot_restart/handover_address.hpp"
+#include "hot_restart/handover_message_reader.hpp"
 #include "io/unique_descriptor.hpp"
 
 namespace ivyreel {
@@ -26,16 +27,20 @@
     // listening socket is its position in HandoverDelegate::listeners().
     int takeLink() { return link_.release(); }
     int takeListener(std::size_t index);
+    // Transfers the input of the link that follows the state.
+    HandoverMessageReader takeReader() { return std::move(reader_); }
 
-    // The state as one line, for HandoverState::parse.
+    // The state without its line end, for HandoverState::parse.
     const std::string& handoverState() const { return inheritedState_; }
 
   private:
     explicit PredecessorState(UniqueDescriptor link) : link_(std::move(link)) {}
 
     bool receiveState(std::chrono::steady_clock::time_point deadline);
+    void takeListeners();
 
     UniqueDescriptor link_;
+    HandoverMessageReader reader_;
     std::vector<UniqueDescriptor> listeners_;
     std::string inheritedState_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -65,7 +65,7 @@
     if (config_.adminAddress) startAdminServer(predecessor);
     if (predecessor) {
         spdlog::info("hot restart: taking over from the predecessor");
-        scheduler_.spawn(takeOver(predecessor->takeLink()));
+        scheduler_.spawn(takeOver(predecessor->takeLink(), predecessor->takeReader()));
     } else if (config_.pushModeConfigured) {
         scheduler_.spawn(serveAfterPushedList());
     } else {
@@ -152,8 +152,8 @@
     startServing();
 }
 
-Task<void> Node::takeOver(int link) {
-    scheduler_.spawn(handover_.exchangeWithPredecessor(link));
+Task<void> Node::takeOver(int link, HandoverMessageReader reader) {
+    scheduler_.spawn(handover_.exchangeWithPredecessor(link, std::move(reader)));
     co_await awaitFirstListCall(kTakeoverListTimeout);
     startServing();
     handover_.notifyServing();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -71,7 +71,7 @@
     void startServing();
     Task<void> awaitFirstListCall(Micros timeout);
     Task<void> serveAfterPushedList();
-    Task<void> takeOver(int link);
+    Task<void> takeOver(int link, HandoverMessageReader reader);
 
     // Configuration.
     std::size_t clientDescriptorLimit() const;
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -240,40 +240,66 @@
     EXPECT_NE(successor.nextMessageWith("\"ban\"").find("\"on\":true"), std::string::npos);
 }
 
-// Guards against a node that does not start because the socket file is stale or its directory is missing, and
-// against a handover that fails because the path of the socket file is too long for a socket address.
-// Guards against bans that an upgrade loses: a predecessor of an earlier version writes null for a number
-// that is not finite.
-TEST(HotRestart, BansAreInheritedFromAStateWithAnInvalidSection) {
+// Two endpoints, of which an operator has banned the first at a node, and the state that this node hands
+// over.
+struct StateWithABan {
     SharedDirectory directory;
-    SharedDirectory otherDirectory("hot_restart_target");
     StubServer banned;
     StubServer usable;
     NodeProcess::Options options = restartOptions(banned, directory);
-    options.servers = {{"s-1", banned.address()}, {"s-2", usable.address()}};
-    const NodeProcess source{options};
-    EXPECT_EQ(source.adminRequest("POST", "/-/hosts/s-1/disable").first, 200);
-    FakeSuccessor successor{directory};
-    successor.sendRequest();
-    std::string state = successor.nextMessage();
+    std::string state;
+
+    StateWithABan() {
+        options.servers = {{"s-1", banned.address()}, {"s-2", usable.address()}};
+        const NodeProcess source{options};
+        EXPECT_EQ(source.adminRequest("POST", "/-/hosts/s-1/disable").first, 200);
+        FakeSuccessor successor{directory};
+        successor.sendRequest();
+        state = successor.nextMessage();
+    }
+
+    // Expects that a node whose predecessor sends this text as its state sends no request to the banned
+    // endpoint.
+    void expectBanIsInherited(const std::string& text) {
+        SharedDirectory otherDirectory("hot_restart_target");
+        FakePredecessor predecessor{otherDirectory};
+        std::thread predecessorThread([&predecessor, &text] {
+            predecessor.acceptRequest();
+            predecessor.sendState(text);
+        });
+        options.directory = otherDirectory.path();
+        NodeProcess node{options};
+        predecessorThread.join();
+        for (int i = 0; i < 20 && !testing::Test::HasFailure(); ++i) {
+            TestConnection client = node.client(newOpeningLine());
+            while (usable.hasNoQueuedConnection() && banned.hasNoQueuedConnection() && !client.hasInput()) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+            EXPECT_TRUE(banned.hasNoQueuedConnection());
+            if (!usable.hasNoQueuedConnection()) usable.nextOpened();
+        }
+    }
+};
+
+// Guards against bans that an upgrade loses: a predecessor of an earlier version writes null for a number
+// that is not finite.
+TEST(HotRestart, BansAreInheritedFromAStateWithAnInvalidSection) {
+    StateWithABan fixture;
+    std::string state = fixture.state;
     const std::size_t work = state.find("\"work\":");
     ASSERT_NE(work, std::string::npos);
     state.insert(work + 7, "null,\"other\":");
+    fixture.expectBanIsInherited(state);
+}
 
-    FakePredecessor predecessor{otherDirectory};
-    std::thread predecessorThread([&predecessor, &state] {
-        predecessor.acceptRequest();
-        predecessor.sendState(state);
-    });
-    options.directory = otherDirectory.path();
-    NodeProcess node{options};
-    predecessorThread.join();
-    for (int i = 0; i < 20 && !testing::Test::HasFailure(); ++i) {
-        establishConnection(node, usable);
-    }
-    EXPECT_TRUE(banned.hasNoQueuedConnection());
+// Guards against bans that an upgrade loses: a message that arrives together with the end of the state.
+TEST(HotRestart, BansAreInheritedThoughAMessageArrivesTogetherWithTheState) {
+    StateWithABan fixture;
+    fixture.expectBanIsInherited(fixture.state + "\n{\"holds\":9}");
 }
 
+// Guards against a node that does not start because the socket file is stale or its directory is missing, and
+// against a handover that fails because the path of the socket file is too long for a socket address.
 TEST(HotRestart, StartsWithoutAPredecessorAndHandsOverThroughALongDirectoryPath) {
     SharedDirectory directory;
     StubServer server;
