The handover link reads on after it has reached its maximum

What callers would see: bans, ids of requests and transferred connections that reach the other process late, at the next event on the link.

Cause: receive() stops at 256 KB of unhandled input. The socket is watched by edges, so it reports no event for input that it has already; the rest waited although the messages had been handled.

Change: a link that stops at its maximum raises its own signal. A peer whose request exceeds the maximum is disconnected at once, instead of after the time-out of the request.

--- a/src/hot_restart/handover.cpp
+++ b/src/hot_restart/handover.cpp
@@ -120,7 +120,7 @@
     for (;;) {
         link.receive();
         std::optional<std::string> line = link.nextMessage();
-        if (line || link.ended() || scheduler_.now() >= deadline) co_return line;
+        if (line || link.ended() || link.overflowed() || scheduler_.now() >= deadline) co_return line;
         co_await link.signal().wait(deadline);
     }
 }
--- a/src/hot_restart/handover_link.cpp
+++ b/src/hot_restart/handover_link.cpp
@@ -44,6 +44,7 @@
                 break;
         }
     }
+    if (overflowed()) signal_.raise();  // the socket reports no event for input that it has already
 }
 
 int HandoverLink::takeDescriptor() {
--- a/tests/predecessor_state_test.cpp
+++ b/tests/predecessor_state_test.cpp
@@ -147,5 +147,38 @@
     }
 }
 
+// Guards against messages that are handled late: the link stopped reading at its maximum and waited for the
+// next event although more had arrived.
+TEST(HandoverLink, AllMessagesThatHaveArrivedAreHandledWithoutAnotherEvent) {
+    std::array<int, 2> ends{-1, -1};
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends.data()), 0);
+    const int bufferBytes = 1'000'000;
+    ::setsockopt(ends[1], SOL_SOCKET, SO_SNDBUF, &bufferBytes, sizeof bufferBytes);
+    std::size_t sent = 0;
+    const std::string line = std::string(16'000, 'm') + "\n";
+    while (::send(ends[1], line.data(), line.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(line.size())) {
+        ++sent;
+    }
+    Scheduler scheduler;
+    std::size_t received = 0;
+    scheduler.spawn(
+        [](Scheduler& loop, int descriptor, std::size_t expected, std::size_t& count) -> Task<void> {
+            HandoverLink link{loop, descriptor};
+            const Time deadline = loop.now() + std::chrono::seconds(5);
+            while (count < expected && loop.now() < deadline) {
+                link.receive();
+                while (link.nextMessage()) {
+                    ++count;
+                }
+                if (count < expected) co_await link.signal().wait(deadline);
+            }
+            loop.stop();
+        }(scheduler, ends[0], sent, received));
+    scheduler.run();
+    EXPECT_GT(sent * line.size(), 256U * 1024) << "the socket holds less than the maximum of the link";
+    EXPECT_EQ(received, sent);
+    ::close(ends[1]);
+}
+
 }  // namespace
 }  // namespace ivyreel
