An opening line has at most 64 attributes

Cause: each name of a line is compared with all names before it, and stored in 32 bytes, before anything else of the line is looked at.

Evidence: OpeningLine.HasAtMostSixtyFourAttributes failed before.

Change: a line with more attributes is malformed: ERR, counted in bad_line.

--- a/src/protocol/line.cpp
+++ b/src/protocol/line.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::size_t kOpeningWords = 4;  // OPEN, id, key, attributes
+constexpr std::size_t kOpeningWords = 4;    // OPEN, id, key, attributes
+constexpr std::size_t kMaxAttributes = 64;  // bounds the memory and the time that one line takes
 constexpr std::size_t kMaxHexDigits = 16;
 constexpr int kHexadecimal = 16;
 constexpr std::chrono::microseconds::rep kMicrosPerMilli = 1000;
@@ -64,7 +65,8 @@
     return opening;
 }
 
-// Parses "name=value,name=value". Returns false if the list is malformed or has the same attribute twice.
+// Parses "name=value,name=value". Returns false if the list is malformed, has the same attribute twice
+// or more than kMaxAttributes.
 bool OpeningLine::parseAttributes(Span list) {
     const std::string_view text = text_;
     const std::size_t listEnd = list.begin + list.size;
@@ -73,7 +75,7 @@
         const std::size_t equals = text.find('=', begin);
         if (equals == std::string_view::npos || equals >= end || equals == begin) return false;
         const Span name{begin, equals - begin};
-        if (has(part(name))) return false;
+        if (attributes_.size() == kMaxAttributes || has(part(name))) return false;
         attributes_.push_back({name, Span{equals + 1, end - equals - 1}});
         begin = end + 1;
     }
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -105,6 +105,17 @@
     }
 }
 
+// Guards against late answers to other clients, and memory that grows with the number of clients: each name
+// of a line is compared with all names before it, and takes more memory than it has bytes.
+TEST(OpeningLine, HasAtMostSixtyFourAttributes) {
+    std::string line = "OPEN a b c=x";
+    for (int i = 1; i < 64; ++i) {
+        line += ",n" + std::to_string(i) + "=";
+    }
+    EXPECT_TRUE(OpeningLine::parse(line));
+    EXPECT_FALSE(OpeningLine::parse(line + ",n64="));
+}
+
 std::string bodyOf(std::string_view response, std::size_t pieceBytes) {
     HttpResponseParser parser;
     Buffer input;
