Ids of ended requests are kept for their 10 s at up to 13,107 ends a second

What callers saw: at over 410 ends a second an id was served again before 10 s had passed since its end, and an unsafe request ran twice.

Cause: 4,096 ended ids were kept at most.

Evidence: RecentRequestIds.FiveThousandEndsASecondAreAllKnownForTenSeconds failed before at id 8191.

Change: 131,072 ended ids, about 80 bytes each by the size of the containers' entries, 10 MB in all. EvictsTheOldestEndedIdsBeyondTheLimit named the old limit and checks the new one as strictly; two tests with more ids than the limit have more of them.

--- a/src/proxy/recent_request_ids.cpp
+++ b/src/proxy/recent_request_ids.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr Micros kRetentionAfterEnd = 10s;
-constexpr std::size_t kMaxEndedIds = 4096;
+constexpr std::size_t kMaxEndedIds = 131'072;  // 13,107 ends a second over the retention; about 80 bytes each
 
 }  // namespace
 
--- a/src/proxy/recent_request_ids.hpp
+++ b/src/proxy/recent_request_ids.hpp
@@ -14,8 +14,9 @@
 namespace ivyreel {
 
 // Counts the open requests of this node, and keeps the id of each request until 10 s after the request has
-// ended. A request is open from its opening line to the end of its connection. Every connection has a new id,
-// so an opening line with a known id is a copy.
+// ended. Of ended requests it keeps the latest 131,072, which take about 10 MB. A request is open from its
+// opening line to the end of its connection. Every connection has a new id, so an opening line with a known
+// id is a copy.
 //
 // Invariant: an id that is in use never expires, whether a request of this node uses it or a request of the
 // other process of a hot restart (peer_request_ids.hpp).
--- a/tests/peer_request_ids_test.cpp
+++ b/tests/peer_request_ids_test.cpp
@@ -59,10 +59,10 @@
 // ended, and all but the last 4,096 were forgotten at once.
 TEST(PeerRequestIds, MoreIdsThanTheLimitOfEndedIdsStayKnown) {
     PeerRequestIdsFixture fixture;
-    for (std::uint64_t id = 0; id < 20'000; ++id) {
+    for (std::uint64_t id = 0; id < 200'000; ++id) {
         fixture.peer.add(id);
     }
-    for (std::uint64_t id = 0; id < 20'000; ++id) {
+    for (std::uint64_t id = 0; id < 200'000; ++id) {
         EXPECT_TRUE(fixture.ids.isKnown(id, fixture.start())) << id;
     }
 }
--- a/tests/recent_request_ids_test.cpp
+++ b/tests/recent_request_ids_test.cpp
@@ -27,13 +27,29 @@
 
 TEST(RecentRequestIds, EvictsTheOldestEndedIdsBeyondTheLimit) {
     RecentRequestIds ids;
-    for (std::uint64_t id = 0; id <= 4096; ++id) {
+    for (std::uint64_t id = 0; id <= 131'072; ++id) {
         ids.open(id);
         ids.close(id, 1s);
     }
     EXPECT_FALSE(ids.isKnown(0, 1s));
     EXPECT_TRUE(ids.isKnown(1, 1s));
-    EXPECT_EQ(ids.all().size(), 4096U);
+    EXPECT_EQ(ids.all().size(), 131'072U);
+}
+
+// Guards against a second run of an unsafe request: at over 410 ends a second, an id was forgotten before its
+// 10 s.
+TEST(RecentRequestIds, FiveThousandEndsASecondAreAllKnownForTenSeconds) {
+    constexpr std::uint64_t kEnds = 50'000;
+    constexpr Micros kInterval = 200us;
+    RecentRequestIds ids;
+    for (std::uint64_t id = 0; id < kEnds; ++id) {
+        ids.open(id);
+        ids.close(id, 100s + id * kInterval);
+        ASSERT_TRUE(ids.isKnown(id / 2, 100s + id * kInterval)) << id;
+    }
+    EXPECT_TRUE(ids.isKnown(0, 110s));
+    EXPECT_FALSE(ids.isKnown(0, 110s + 1us));
+    EXPECT_TRUE(ids.isKnown(1, 110s + 1us));
 }
 
 // Guards against a second run of an unsafe request: an id that had ended and is in use again was forgotten
@@ -82,13 +98,13 @@
 
 TEST(RecentRequestIds, OpenIdsDoNotCountTowardsTheLimitOfEndedIds) {
     RecentRequestIds ids;
-    for (std::uint64_t id = 0; id < 10'000; ++id) {
+    for (std::uint64_t id = 0; id < 200'000; ++id) {
         ids.open(id);
     }
-    for (std::uint64_t id = 0; id < 10'000; ++id) {
+    for (std::uint64_t id = 0; id < 200'000; ++id) {
         EXPECT_TRUE(ids.isKnown(id, 1s)) << id;
     }
-    EXPECT_EQ(ids.all().size(), 10'000U);
+    EXPECT_EQ(ids.all().size(), 200'000U);
 }
 
 }  // namespace
