A reset of a connection is noticed while its input buffer is full

What callers saw: a client that left with a reset, while its endpoint did not read, was noticed only when the endpoint read again: its lines were sent on after it had left, and its endpoint learned of the end late.

Cause: receive() makes no system call when the buffer is full, and a read returns the unread bytes before the error.

Evidence: Connection.NoticesAResetWhileItsBufferIsFull failed before.

Change: with a full buffer, receive() asks the kernel whether the connection has been reset, and marks it as broken.

--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -128,6 +129,11 @@
     return connected ? ConnectState::Done : ConnectState::Pending;
 }
 
+bool Socket::isReset() const {
+    pollfd state{descriptor_, 0, 0};
+    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLERR) != 0;
+}
+
 void Socket::shutdownSend() const {
     ::shutdown(descriptor_, SHUT_WR);
 }
@@ -154,7 +160,10 @@
     bool received = false;
     for (std::size_t reads = 0; !inputEnded() && reads < kMaxReadsPerReceive; ++reads) {
         const std::span<char> space = input.freeSpace();
-        if (space.empty()) break;
+        if (space.empty()) {
+            broken = socket.isReset();
+            break;
+        }
         const ssize_t count = ::recv(socket.descriptor(), space.data(), space.size(), 0);
         if (count > 0) {
             input.commit(static_cast<std::size_t>(count));
--- a/src/io/socket.hpp
+++ b/src/io/socket.hpp
@@ -64,6 +64,9 @@
     enum class ConnectState { Pending, Done, Failed };
     ConnectState connectState() const;
 
+    // Whether the connection has been reset. Unlike a read, this also holds while unread input is left.
+    bool isReset() const;
+
     // Stops watching the descriptor and transfers its ownership to the caller.
     int release();
 
@@ -85,7 +88,8 @@
     explicit Connection(Socket owned) : socket(std::move(owned)) {}
 
     // Reads into the buffer until no more input is available, the buffer is full, or the maximum number of
-    // reads per call is reached. Returns true if bytes were read.
+    // reads per call is reached. Returns true if bytes were read. A reset is noticed even if the buffer is
+    // full.
     bool receive();
     // Sends the first `count` bytes of another connection's buffer. Removes the sent bytes from the buffer
     // and subtracts them from `count`. Returns true if bytes were sent.
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -6,6 +6,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <string>
+
 namespace ivyreel {
 namespace {
 
@@ -34,5 +36,31 @@
     EXPECT_TRUE(isNagleDisabled(accepted));
 }
 
+// Guards against requests that are sent on after their client has left: while the buffer was full, a reset of
+// the connection behind unread input went unnoticed.
+TEST(Connection, NoticesAResetWhileItsBufferIsFull) {
+    Scheduler scheduler;
+    Signal signal{scheduler};
+    const Socket listener = Socket::listenOn(signal, *Address::parse("127.0.0.1:0"), -1);
+    Socket peer = Socket::connectTo(signal, listener.localAddress());
+    pollfd incoming{listener.descriptor(), POLLIN, 0};
+    ASSERT_EQ(::poll(&incoming, 1, kTimeoutMs), 1);
+    int descriptor = -1;
+    ASSERT_EQ(listener.accept(descriptor), Socket::AcceptResult::Accepted);
+    Connection connection{Socket{signal, descriptor}};
+    const std::string text(60'000, 'x');
+    ASSERT_EQ(::send(peer.descriptor(), text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+    while (!connection.input.full()) {
+        connection.receive();
+    }
+    EXPECT_FALSE(connection.receive());
+    EXPECT_FALSE(connection.inputEnded());
+    peer.reset();
+    pollfd state{descriptor, 0, 0};
+    ASSERT_EQ(::poll(&state, 1, kTimeoutMs), 1);
+    EXPECT_FALSE(connection.receive());
+    EXPECT_TRUE(connection.broken);
+}
+
 }  // namespace
 }  // namespace ivyreel
