Only the relay asks for a reset behind unread input, and of the client only

An endpoint may reset its connection behind its last lines, and these belong to the client; a full buffer would have cost them.

Evidence: found by reading the change. The new test Relay.ResetOfThe- ClientEndsTheUpstreamConnectionThoughTheEndpointDoesNotRead fails without the check in the relay (the endpoint counts as unresponsive after 4 s) and passes with it.

Change: Connection::noticeReset, called by the relay while the client's buffer is full.

--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -160,10 +160,7 @@
     bool received = false;
     for (std::size_t reads = 0; !inputEnded() && reads < kMaxReadsPerReceive; ++reads) {
         const std::span<char> space = input.freeSpace();
-        if (space.empty()) {
-            broken = socket.isReset();
-            break;
-        }
+        if (space.empty()) break;
         const ssize_t count = ::recv(socket.descriptor(), space.data(), space.size(), 0);
         if (count > 0) {
             input.commit(static_cast<std::size_t>(count));
@@ -179,6 +176,10 @@
     return received;
 }
 
+void Connection::noticeReset() {
+    if (socket.isReset()) broken = true;
+}
+
 bool Connection::sendFrom(Buffer& from, std::size_t& count) {
     std::size_t sent = 0;
     send(from.view().substr(0, count), sent);
--- a/src/io/socket.hpp
+++ b/src/io/socket.hpp
@@ -88,9 +88,10 @@
     explicit Connection(Socket owned) : socket(std::move(owned)) {}
 
     // Reads into the buffer until no more input is available, the buffer is full, or the maximum number of
-    // reads per call is reached. Returns true if bytes were read. A reset is noticed even if the buffer is
-    // full.
+    // reads per call is reached. Returns true if bytes were read.
     bool receive();
+    // Marks the connection as broken if it has been reset, although unread input may be left.
+    void noticeReset();
     // Sends the first `count` bytes of another connection's buffer. Removes the sent bytes from the buffer
     // and subtracts them from `count`. Returns true if bytes were sent.
     bool sendFrom(Buffer& from, std::size_t& count);
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -82,6 +82,7 @@
 // exceeds the maximum length.
 bool Relay::step() {
     bool progress = connections_.client.receive();
+    if (connections_.client.input.full()) connections_.client.noticeReset();
     progress = connections_.upstream.receive() || progress;
     scanClientLines();
     scanUpstreamLines();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -2,6 +2,7 @@
 #include "proxy/relay.hpp"
 
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,6 +21,16 @@
 
 using namespace std::chrono_literals;
 
+constexpr int kTimeoutMs = 20'000;  // reached only if the test hangs
+
+std::string linesOf(std::size_t bytes) {
+    std::string lines;
+    while (lines.size() < bytes) {
+        lines += std::string(998, 'x') + "\r\n";
+    }
+    return lines;
+}
+
 // Records the events and makes no decisions.
 class RecordingEngine final : public DecisionEngine {
   public:
@@ -127,6 +138,34 @@
     EXPECT_EQ(loads, (std::vector<double>{1000.0}));
 }
 
+// Guards against requests that are sent on after their client has left: a reset behind unread input went
+// unnoticed while the endpoint did not read.
+TEST(Relay, ResetOfTheClientEndsTheUpstreamConnectionThoughTheEndpointDoesNotRead) {
+    RelayFixture fixture;
+    Signal signal{fixture.scheduler};
+    const Socket listener = Socket::listenOn(signal, *Address::parse("127.0.0.1:0"), -1);
+    Socket client = Socket::connectTo(signal, listener.localAddress());
+    pollfd incoming{listener.descriptor(), POLLIN, 0};
+    ASSERT_EQ(::poll(&incoming, 1, kTimeoutMs), 1);
+    ::close(fixture.client[0]);
+    ::close(fixture.client[1]);
+    ASSERT_EQ(listener.accept(fixture.client[0]), Socket::AcceptResult::Accepted);
+    const int upstreamBytes = 4096;
+    ::setsockopt(fixture.server[0], SOL_SOCKET, SO_SNDBUF, &upstreamBytes, sizeof upstreamBytes);
+    const std::string lines = linesOf(200'000);
+    ASSERT_GT(::send(client.descriptor(), lines.data(), lines.size(), 0), 60'000)
+        << "more than the relay and the socket of the endpoint take";
+    fixture.scheduler.spawn(fixture.runRelay(false));
+    fixture.scheduler.spawn([](Scheduler& scheduler, Socket& leaving) -> Task<void> {
+        Signal pause{scheduler};
+        co_await pause.wait(scheduler.now() + 100ms);
+        leaving.reset();
+    }(fixture.scheduler, client));
+    fixture.scheduler.run();
+    EXPECT_EQ(fixture.metrics.closedByClient, 1U);
+    EXPECT_EQ(fixture.metrics.migratedUnresponsive, 0U);
+}
+
 TEST(Relay, MoveFromTheNodeItselfDoesNotWithholdTheEndpoint) {
     RelayFixture fixture;
     fixture.run(true);
--- a/tests/socket_test.cpp
+++ b/tests/socket_test.cpp
@@ -53,12 +53,14 @@
     while (!connection.input.full()) {
         connection.receive();
     }
-    EXPECT_FALSE(connection.receive());
+    connection.noticeReset();
     EXPECT_FALSE(connection.inputEnded());
     peer.reset();
     pollfd state{descriptor, 0, 0};
     ASSERT_EQ(::poll(&state, 1, kTimeoutMs), 1);
     EXPECT_FALSE(connection.receive());
+    EXPECT_FALSE(connection.inputEnded()) << "a read returns the unread input first";
+    connection.noticeReset();
     EXPECT_TRUE(connection.broken);
 }
 
